Bound what a RESP value may announce: a billion-part array stalled the gateway

hiredis allocates the announced list at its head, and the garbage collector then walks 8 GB of address space for seconds, again and again.

Seen to fail without: five of the framing tests.

--- a/calicomast/net/clients.py
+++ b/calicomast/net/clients.py
@@ -9,10 +9,11 @@
 
 import hiredis
 
+from calicomast.net.resp import NO_REPLY, Reader
+
 MOST_BODY = 64 * 1024
 MOST_COMMAND = MOST_BODY + 4096  # bytes of one command, framing included
 MOST_PENDING = 512  # commands of one connection in work; past that it is not read
-NO_REPLY: Any = object()  # hiredis: more bytes are needed (None and False are values)
 
 
 class Slot:
@@ -33,7 +34,7 @@
 class Client(asyncio.Protocol):
     def __init__(self, server: ClientServer) -> None:
         self.server = server
-        self.reader = hiredis.Reader(notEnoughData=NO_REPLY)
+        self.reader = Reader(MOST_COMMAND)
         self.pending: deque[Slot] = deque()
         self.partial = 0  # bytes read of a command that is not whole yet
         self.closing = self.broken = self.paused = self.flooded = False
@@ -62,7 +63,7 @@
                 slot = Slot(self)
                 self.pending.append(slot)
                 self.server.handler.command(slot, command)
-        except (hiredis.ProtocolError, MemoryError):  # the latter for an array said to have billions of parts
+        except hiredis.ProtocolError:
             self.fail(b"-ERR protocol error\r\n")
         else:
             if self.partial > MOST_COMMAND:  # a command without end must not fill the memory
--- a/calicomast/net/hosts.py
+++ b/calicomast/net/hosts.py
@@ -17,12 +17,12 @@
 import hiredis
 
 from calicomast.net.listing import Address
+from calicomast.net.resp import NO_REPLY, Reader
 from calicomast.settings import read_report
 
 MOST_REPLY = 128 * 1024  # bytes of one answer
 IDLE_MARGIN = 0.1  # part of the hosts' idle time by which a connection is closed before them
 IDLE_CHECK = 0.5  # s between looks for idle connections
-NO_REPLY = object()
 PROBE = object()  # the tag of an attempt that is a probe
 
 Report = dict[str, float]
@@ -76,7 +76,7 @@
 class Connection(asyncio.Protocol):
     def __init__(self, pool: Pool, sock: socket.socket) -> None:
         self.pool, self.sock = pool, sock
-        self.reader = hiredis.Reader(notEnoughData=NO_REPLY)
+        self.reader = Reader(MOST_REPLY)
         self.attempt: Attempt | None = None
         self.written, self.received, self.idle_since = True, 0, 0.0
         self.transport: asyncio.Transport | None = None
--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -25,7 +25,9 @@
 
 
 @pytest.mark.parametrize("bad", [b"GET / HTTP/1.1\r\n\r\n", b"*1\r\n$70000\r\n" + b"x" * 69900, b"*x\r\n",
-                                 b"*99999999999\r\n", b"*4294967295\r\n"])
+                                 b"*99999999999\r\n", b"*4294967295\r\n", b"*1000000000\r\n",
+                                 b"*2\r\n$8\r\nAPI.READ\r\n*1000000000\r\n", b"$60000000\r\n",
+                                 b"%1000000000\r\n", b"*" + b"1" * 5000, b"*two\r\n"])
 @on_loop
 async def test_lost_framing_ends_only_its_own_connection(bad, tmp_path):
     async with StubHost() as host, Node(host, path=tmp_path) as node:
--- a/tests/test_net_hosts.py
+++ b/tests/test_net_hosts.py
@@ -30,6 +30,14 @@
         assert await node.ask(command(b"r2")) == SERVED
 
 
+@on_loop
+async def test_an_answer_that_announces_too_much_ends_its_attempt_only(tmp_path):
+    async with StubHost(b"*1000000000\r\n") as host, Node(host, path=tmp_path) as node:
+        assert await node.ask(write(cls=b"note", d=60000)) == b"-ERR failed\r\n"  # long before that
+        host.answer = VALUE
+        assert await node.ask(command(b"r2")) == SERVED
+
+
 @on_loop
 async def test_a_probe_brings_the_load_report(tmp_path):
     async with StubHost(b"$8\r\nactive=7\r\n") as host, Node(host, path=tmp_path) as node:
