--- a/calicomast/net/gateway.py
+++ b/calicomast/net/gateway.py
@@ -24,6 +24,7 @@
 WAY_BACK = 0.03  # s before the client gives up by which the module is to be done
 GUARD = 0.01  # s before that by which a request without an answer is failed, whatever the module does
 MOST_LEFT = 3600.0  # s; a client that says it will wait for longer is in error
+MOST_CUSTOMER = 2 ** 33  # customers are numbers below it
 MOST_HELD = 48 * 1024 * 1024  # bytes of bodies in work past which requests are refused: memory is bounded
 SPARE_SOCKETS = 64  # descriptors that are neither clients' nor hosts' connections
 LINGER = 0.5  # s after SIGTERM in which connections still come
@@ -128,7 +129,7 @@
         try:
             actions = self.module.handle(self.clock(), event)
         except Exception:  # one request must not take the others along
-            log.exception("the module failed on %s", type(event).__name__)
+            log.exception("the module failed on %r", event)
             if isinstance(event, api.Request | api.Outcome) and event.id in self.works:
                 self.abandon(self.works[event.id])
             return
@@ -208,7 +209,7 @@
             plan = fields[b"t"].decode()
             left, units, spread = int(fields[b"d"]) / 1000, float(fields[b"units"]), int(fields[b"spread"])
             first = int(fields[b"first"])
-            if len(customer) != 16 or int(customer, 16) < 0 or not name:
+            if len(customer) != 16 or not 0 <= int(customer, 16) < MOST_CUSTOMER or not name:
                 raise ValueError("customer or id")
         except (KeyError, ValueError, OverflowError) as err:
             raise BadRequest("missing or odd field") from err
@@ -216,7 +217,10 @@
             raise BadRequest("unknown class or plan")
         if write == (cls.effect == "safe") or (cls.effect == "keyed" and not fields.get(b"k")):
             raise BadRequest("class does not go with this command")
-        if not 0 <= units < math.inf or spread < 1 or first < 0 or not 0 <= left <= MOST_LEFT:
+        # The module weighs a request by its units against the mean of all: one of 1e12 spoils that for long.
+        most = self.settings.gateways
+        if not 0 < units <= self.settings.most_units or not 0 <= left <= MOST_LEFT or (
+                not 1 <= spread <= most or not 0 <= first < most):
             raise BadRequest("field out of range")
         return api.Request(name.decode("latin-1"), left - WAY_BACK, customer.decode(), plan, cls.name, units,
                            first, spread, fields.get(b"r") == b"1", write)
--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -13,6 +13,8 @@
     command(terms=terms(d="9" * 400)), command(terms=terms(d="9" * 12)), command(terms=terms(units="1e999")),
     command(terms=terms(c="write"), verb=b"API.WRITE", body=b"x"),  # keyed, without its key
     command(terms=terms(c="note"), verb=b"API.WRITE", body=b"x" * 65537),
+    command(terms=terms(units="1e12")), command(terms=terms(units="0")), command(terms=terms(spread="2")),
+    command(terms=terms(first="1")), command(customer=b"0000000200000000"),
 ])
 @on_loop
 async def test_bad_commands_are_answered_and_the_connection_goes_on(bad, tmp_path):
