--- a/calicomast/net/counter.py
+++ b/calicomast/net/counter.py
@@ -13,6 +13,7 @@
 
 LINES = 4  # connections, so that a part that is slow does not hold up the names of the others
 KEEP_ALIVE = 2.0  # s without a call after which a `ping`, which costs nothing, keeps a connection open
+KEEP_PART, KEEP_LEAST = 0.5, 0.1  # part of the rest after which the counter closed one; least time for a ping
 SILENT = 2.0  # s without an answer that was due, after which a connection is held dead and made anew
 BACKOFF_LEAST, BACKOFF_MOST = 0.05, 1.0  # s between tries to connect
 PING = -1  # in place of a name
@@ -47,6 +48,7 @@
         self.transport: asyncio.Transport | None = None
         self.calls: deque[Call] = deque()  # written and not answered
         self.rest, self.blocked, self.used = b"", False, 0.0
+        self.keep_alive = KEEP_ALIVE  # the counter does not tell for how long a connection may stand idle
         self.lost = asyncio.Event()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -68,6 +70,11 @@
             call.end("timeout")
         self.lost.set()
 
+    def eof_received(self) -> None:
+        if not self.calls:  # it stood idle for too long: from now on it is kept open in time
+            idle = KEEP_PART * (monotonic() - self.used)
+            self.keep_alive = max(KEEP_LEAST, min(self.keep_alive, idle))
+
     def write(self, call: Call, text: bytes) -> bool:
         """False if nothing of it was written."""
         if self.transport is None or self.blocked or self.transport.is_closing():
@@ -117,7 +124,7 @@
             # A machine that vanished says nothing, and its connections stay open for good.
             log.warning("counter: no answer for %.0f s, connecting again", SILENT)
             self.abort()
-        elif not self.calls and now - self.used > KEEP_ALIVE:
+        elif not self.calls and now - self.used > self.keep_alive:
             self.write(Call(PING, None), b"ping\r\n")
 
     async def keep(self) -> None:
@@ -153,7 +160,7 @@
 
     async def checks(self) -> None:
         while True:
-            await asyncio.sleep(0.5)
+            await asyncio.sleep(min(line.keep_alive for line in self.lines) / 4)
             for line in self.lines:
                 line.check()
 
--- a/tests/netkit.py
+++ b/tests/netkit.py
@@ -125,17 +125,20 @@
 
 
 class StubCounter(Served):
-    """Keeps totals; `silent` leaves calls unanswered until `answer_all`."""
+    """Keeps totals; `silent` leaves calls unanswered until `answer_all`; `idle`: s without a line
+    after which it closes a connection."""
 
     def __init__(self):
         super().__init__()
+        self.idle, self.pings, self.closed = None, 0, asyncio.Queue()
         self.calls, self.totals, self.silent, self.held = [], {}, False, []
         self.arrived = asyncio.Queue()
 
     async def serve(self, reader, writer):
-        while line := await reader.readline():
+        while line := await self.line(reader):
             words = line.split()
             if words[0] == b"ping":
+                self.pings += 1
                 writer.write(b"pong\r\n")
                 continue
             self.calls.append(words)
@@ -147,6 +150,14 @@
             else:
                 writer.write(answer)
 
+    async def line(self, reader):
+        try:
+            async with asyncio.timeout(self.idle):
+                return await reader.readline()
+        except TimeoutError:
+            self.closed.put_nowait(True)
+            return b""
+
     def answer_all(self):
         for writer, answer in self.held:
             writer.write(answer)
--- a/tests/test_net_counter.py
+++ b/tests/test_net_counter.py
@@ -3,7 +3,9 @@
 import asyncio
 
 import pytest
-from netkit import SERVED, Node, StubHost, command, on_loop
+from netkit import SERVED, Node, StubCounter, StubHost, command, on_loop
+
+from calicomast.net.counter import Counter
 
 
 @on_loop
@@ -68,3 +70,18 @@
         while counter.lines[0].transport in (None, old):
             await asyncio.sleep(0.01)
         assert await node.ask(command()) == SERVED
+
+
+@on_loop
+async def test_connections_outlive_a_counter_that_closes_idle_ones_early(tmp_path):
+    async with StubCounter() as stub:
+        stub.idle = 1.0
+        counter = Counter(("127.0.0.1", stub.port), 0.5)
+        counter.start()
+        for _ in counter.lines:  # each line loses one connection and learns from it
+            await stub.closed.get()
+        seen = stub.pings
+        while stub.pings < seen + 6 * len(counter.lines):
+            await asyncio.sleep(0.01)
+        assert stub.closed.qsize() == 0
+        counter.close()
