Make a lost counter line again at once, and let its calls wait for it

The back-off took every line that lived under 1 s for one that never worked and kept it down for up to 1 s; calls for its names failed although the counter was well, each time the module took it for silent and refused unasked.

Seen to fail without: the new test.

--- a/calicomast/net/counter.py
+++ b/calicomast/net/counter.py
@@ -25,12 +25,15 @@
 
 
 class Call:
-    __slots__ = ("name", "done", "started", "timer")
+    __slots__ = ("name", "text", "done", "started", "written", "timer")
 
-    def __init__(self, name: int, done: Done | None) -> None:
-        self.name, self.done, self.started = name, done, monotonic()
+    def __init__(self, name: int, text: bytes, done: Done | None) -> None:
+        self.name, self.text, self.done, self.started, self.written = name, text, done, monotonic(), False
         self.timer: asyncio.TimerHandle | None = None
 
+    def give_up(self) -> None:
+        self.end("timeout" if self.written else "connect_failed")  # once written, it may have been added
+
     def end(self, result: str, total: float = 0.0) -> None:
         """Reports once. What comes after a time-out only keeps the place in the order of answers."""
         if self.timer is not None:
@@ -47,7 +50,9 @@
         self.address = address
         self.transport: asyncio.Transport | None = None
         self.calls: deque[Call] = deque()  # written and not answered
+        self.coming: list[Call] | None = None  # calls that wait for a connection which is coming up
         self.rest, self.blocked, self.used = b"", False, 0.0
+        self.worked = False  # the connection has brought an answer
         self.keep_alive = KEEP_ALIVE  # the counter does not tell for how long a connection may stand idle
         self.lost = asyncio.Event()
 
@@ -55,7 +60,14 @@
         self.transport = transport  # type: ignore[assignment]
         # pause_writing then tells at once that the socket did not take a whole call.
         transport.set_write_buffer_limits(high=0)  # type: ignore[attr-defined]
-        self.rest, self.blocked, self.used = b"", False, monotonic()
+        self.rest, self.blocked, self.used, self.worked = b"", False, monotonic(), False
+        self.release()
+
+    def release(self) -> None:
+        waiting, self.coming = self.coming or [], None
+        for call in waiting:
+            if call.done is not None and not self.write(call):
+                call.give_up()
 
     def pause_writing(self) -> None:
         self.blocked = True
@@ -65,9 +77,11 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.transport = None
+        if self.worked:  # it is made again at once: what comes meanwhile waits for that
+            self.coming = []
         calls, self.calls = self.calls, deque()
-        for call in calls:  # written, so each may have been added
-            call.end("timeout")
+        for call in calls:
+            call.give_up()
         self.lost.set()
 
     def eof_received(self) -> None:
@@ -75,13 +89,16 @@
             idle = KEEP_PART * (monotonic() - self.used)
             self.keep_alive = max(KEEP_LEAST, min(self.keep_alive, idle))
 
-    def write(self, call: Call, text: bytes) -> bool:
-        """False if nothing of it was written."""
+    def write(self, call: Call) -> bool:
+        """False if nothing of it was written, nor will be."""
+        if self.coming is not None:
+            self.coming.append(call)
+            return True
         if self.transport is None or self.blocked or self.transport.is_closing():
             return False
         self.calls.append(call)
-        self.used = call.started
-        self.transport.write(text)
+        self.used, call.written = monotonic(), True
+        self.transport.write(call.text)
         return True
 
     def data_received(self, data: bytes) -> None:
@@ -112,6 +129,7 @@
             self.calls.popleft().end("ok")
         else:
             return False
+        self.worked = True
         return True
 
     def abort(self) -> None:
@@ -124,27 +142,28 @@
             # A machine that vanished says nothing, and its connections stay open for good.
             log.warning("counter: no answer for %.0f s, connecting again", SILENT)
             self.abort()
-        elif not self.calls and now - self.used > self.keep_alive:
-            self.write(Call(PING, None), b"ping\r\n")
+        elif self.transport is not None and not self.calls and now - self.used > self.keep_alive:
+            self.write(Call(PING, b"ping\r\n", None))
 
     async def keep(self) -> None:
         loop, pause = asyncio.get_running_loop(), BACKOFF_LEAST
         while True:
             self.lost.clear()
+            self.coming = self.coming or []
             try:
                 async with asyncio.timeout(1.0):
                     await loop.create_connection(lambda: self, *self.address)
             except (OSError, TimeoutError):
+                self.release()
                 await asyncio.sleep(pause)
                 pause = min(BACKOFF_MOST, 2 * pause)
                 continue
-            made = monotonic()
             await self.lost.wait()
-            if monotonic() - made < BACKOFF_MOST:  # accepted, then closed: no reason to hurry
+            if self.worked:
+                pause = BACKOFF_LEAST
+            else:  # accepted, then closed: no reason to hurry
                 await asyncio.sleep(pause)
                 pause = min(BACKOFF_MOST, 2 * pause)
-            else:
-                pause = BACKOFF_LEAST
 
 
 class Counter:
@@ -165,13 +184,12 @@
                 line.check()
 
     def add(self, name: int, amount: float, lifetime: float, done: Done) -> None:
-        call = Call(name, done)
         text = b"incr %d %s %d\r\n" % (name, f"{amount:.7g}".encode(), max(1, math.ceil(lifetime * 1000)))
-        loop = asyncio.get_running_loop()
-        if self.lines[name % LINES].write(call, text):  # one line a name keeps its answers in order
-            call.timer = loop.call_later(self.timeout, call.end, "timeout")
+        call, loop = Call(name, text, done), asyncio.get_running_loop()
+        if self.lines[name % LINES].write(call):  # one line a name keeps its answers in order
+            call.timer = loop.call_later(self.timeout, call.give_up)
         else:
-            loop.call_soon(call.end, "connect_failed")
+            loop.call_soon(call.give_up)
 
     def close(self) -> None:
         for task in self.tasks:
--- a/tests/test_net_counter.py
+++ b/tests/test_net_counter.py
@@ -85,3 +85,21 @@
             await asyncio.sleep(0.01)
         assert stub.closed.qsize() == 0
         counter.close()
+
+
+@on_loop
+async def test_a_call_on_a_connection_just_lost_waits_for_the_next_one():
+    async with StubCounter() as stub:
+        counter, results = Counter(("127.0.0.1", stub.port), 5.0), asyncio.Queue()
+        counter.start()
+        line = counter.lines[0]
+        while line.transport is None:
+            await asyncio.sleep(0)
+        for _ in range(4):
+            counter.add(8, 1, 4, lambda name, result, total, elapsed: results.put_nowait(result))
+            assert await results.get() == "ok"
+            for writer in stub.writers:
+                writer.transport.abort()
+            while line.transport is not None:
+                await asyncio.sleep(0)
+        counter.close()
