Follow SIGHUP to the new addresses of discovery and the counter

The counter's lines first hear the answers they wait for, the watch begins anew. Seen to fail without: the new test.

--- a/calicomast/net/__main__.py
+++ b/calicomast/net/__main__.py
@@ -20,6 +20,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, told.set)
     node = GatewayNode(config)
+    loop.add_signal_handler(signal.SIGHUP, node.reload)
     port = await node.start()
     gc.freeze()  # what the start made stays for good: no collection need look at it again
     logging.getLogger(__name__).info("%s listens on %s:%d", config.name, config.listen[0], port)
--- a/calicomast/net/config.py
+++ b/calicomast/net/config.py
@@ -4,7 +4,8 @@
 
 import json
 import os
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
+from contextlib import contextmanager
 from dataclasses import dataclass
 
 from calicomast import interface as api
@@ -31,13 +32,33 @@
     max_open: int  # requests in work at once
 
 
+@contextmanager
+def in_one_line(path: str) -> Iterator[None]:
+    """Whatever is wrong with the file becomes a ConfigError."""
+    try:
+        yield
+    except KeyError as err:
+        raise ConfigError(f"{path}: missing or unknown {err}") from err
+    except (OSError, ValueError, TypeError, AttributeError) as err:
+        raise ConfigError(f"{path}: {' '.join(str(err).split())}") from err
+
+
+def read_addresses(env: Mapping[str, str] = os.environ) -> tuple[Address, Address | None]:
+    """Where discovery and the counter are by the file as it stands now. The environment of a program that
+    runs cannot change, so here the file counts and not RELAY_DISCOVERY."""
+    path = env.get("RELAY_CONFIG", "")
+    with in_one_line(path), open(path, encoding="utf-8") as file:
+        told = json.load(file)
+        counter = told.get("counter")
+        return read_address(told["discovery"]), read_address(counter) if counter else None
+
+
 def read_config(env: Mapping[str, str] = os.environ) -> Config:
     path = env.get("RELAY_CONFIG")
     if not path:
         raise ConfigError("RELAY_CONFIG is not set")
-    try:
-        with open(path, encoding="utf-8") as file:
-            told = json.load(file)
+    with in_one_line(path), open(path, encoding="utf-8") as file:
+        told = json.load(file)
         tree = told["settings"]
         limits = tree["limits"]
         settings = read_settings(tree)
@@ -53,7 +74,3 @@
             known=read_list(told["known"], "cached"), settings=settings,
             connect_timeout=seconds(limits["connect_timeout"]), idle_close=seconds(limits["idle_close"]),
             max_open=int(limits["max_open"]))
-    except KeyError as err:
-        raise ConfigError(f"{path}: missing or unknown {err}") from err
-    except (OSError, ValueError, TypeError, AttributeError) as err:
-        raise ConfigError(f"{path}: {' '.join(str(err).split())}") from err
--- a/calicomast/net/counter.py
+++ b/calicomast/net/counter.py
@@ -78,7 +78,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self.transport = None
         if self.worked:  # it is made again at once: what comes meanwhile waits for that
-            self.coming = []
+            self.coming = self.coming or []
         calls, self.calls = self.calls, deque()
         for call in calls:
             call.give_up()
@@ -130,8 +130,20 @@
         else:
             return False
         self.worked = True
+        self.leave()
         return True
 
+    def move(self, address: Address) -> None:
+        """To another address, once what is out here is answered; what comes from now on goes there."""
+        self.address = address
+        if self.transport is not None:
+            self.worked, self.coming = True, self.coming or []
+            self.leave()
+
+    def leave(self) -> None:
+        if self.coming is not None and not self.calls:
+            self.abort()
+
     def abort(self) -> None:
         if self.transport is not None:
             self.transport.abort()
@@ -191,6 +203,10 @@
         else:
             loop.call_soon(call.give_up)
 
+    def move(self, address: Address) -> None:
+        for line in self.lines:
+            line.move(address)
+
     def close(self) -> None:
         for task in self.tasks:
             task.cancel()
--- a/calicomast/net/discovery.py
+++ b/calicomast/net/discovery.py
@@ -18,13 +18,17 @@
 log = logging.getLogger(__name__)
 
 
+def url(address: Address) -> str:
+    host, port = address
+    return f"http://{f'[{host}]' if ':' in host else host}:{port}/v1/endpoints"
+
+
 class Discovery:
     """`told` gets each list, `failed` hears of each call that failed."""
 
     def __init__(self, address: Address, version: int, told: Callable[[Listing], None],
                  failed: Callable[[], None]) -> None:
-        host, port = address
-        self.url = f"http://{f'[{host}]' if ':' in host else host}:{port}/v1/endpoints"
+        self.url = url(address)
         self.version, self.told, self.failed = version, told, failed
         self.session: aiohttp.ClientSession | None = None
         self.watching: asyncio.Task[None] | None = None
@@ -69,6 +73,13 @@
             self.watching.cancel()
             self.watching = None
 
+    def move(self, address: Address) -> None:
+        """To another address: a watch begins again there, with the whole list."""
+        self.url = url(address)
+        if self.watching is not None:
+            self.watch(False)
+            self.watch(True)
+
     def fetch(self) -> None:
         task: asyncio.Task[Any] = asyncio.get_running_loop().create_task(self.attempt({}, ANSWER))
         self.fetching.add(task)
--- a/calicomast/net/gateway.py
+++ b/calicomast/net/gateway.py
@@ -14,7 +14,7 @@
 
 from calicomast import interface as api
 from calicomast.net.clients import MOST_BODY, ClientServer, Slot
-from calicomast.net.config import Config
+from calicomast.net.config import Config, ConfigError, read_addresses
 from calicomast.net.counter import Counter
 from calicomast.net.discovery import Discovery
 from calicomast.net.hosts import Attempt, Hosts
@@ -328,6 +328,21 @@
         else:
             self.feed(api.Timer(label))
 
+    # Reconfiguration
+
+    def reload(self) -> None:
+        """After SIGHUP: to the addresses that the file gives now. One that cannot be used changes nothing."""
+        try:
+            discovery, counter = read_addresses()
+        except ConfigError as err:
+            log.error("SIGHUP: %s; the old addresses stay", err)
+            return
+        log.info("SIGHUP: discovery at %s:%d", *discovery)
+        self.discovery.move(discovery)
+        if self.counter and counter:
+            log.info("SIGHUP: counter at %s:%d", *counter)
+            self.counter.move(counter)
+
     # The end
 
     async def stop(self) -> None:
--- a/tests/test_net_process.py
+++ b/tests/test_net_process.py
@@ -9,7 +9,18 @@
 from pathlib import Path
 
 import pytest
-from netkit import SERVED, StubCounter, StubDiscovery, StubHost, command, entry, on_loop, read_reply, told
+from netkit import (
+    SERVED,
+    StubCounter,
+    StubDiscovery,
+    StubHost,
+    command,
+    entry,
+    on_loop,
+    read_reply,
+    terms,
+    told,
+)
 
 ROOT = Path(__file__).resolve().parent.parent
 PING = b"*1\r\n$4\r\nPING\r\n"
@@ -76,3 +87,30 @@
             assert await read_reply(reader) == SERVED
             program.kill()
             assert await program.wait() == -signal.SIGKILL
+
+
+@on_loop
+async def test_sighup_moves_discovery_and_the_counter_and_a_bad_file_moves_nothing(tmp_path):
+    async with (StubHost() as host, StubHost() as late, StubCounter() as counter,
+                StubDiscovery() as discovery, StubCounter() as new_counter, StubDiscovery() as new_discovery):
+        discovery.servers, new_discovery.servers = [entry(host)], [entry(late, "h2")]
+        config = tmp_path / "config.json"
+        config.write_text(json.dumps(told([entry(host)], discovery.port, counter.port)))
+        env = {**os.environ, "RELAY_CONFIG": str(config), "RELAY_DISCOVERY": f"127.0.0.1:{discovery.port}"}
+        program = await asyncio.create_subprocess_exec(*PROGRAM, cwd=ROOT, env=env, stderr=subprocess.PIPE)
+        port = int((await program.stderr.readline()).decode().rsplit(":", 1)[1])
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(command())
+        assert await read_reply(reader) == SERVED
+        config.write_text("{")
+        program.send_signal(signal.SIGHUP)
+        assert b"the old addresses stay" in await program.stderr.readline()
+        config.write_text(json.dumps(told([], new_discovery.port, new_counter.port)))
+        program.send_signal(signal.SIGHUP)
+        number = 1
+        while not (new_counter.calls and late.commands):  # each customer's first request needs the counter
+            writer.write(command(b"n%d" % number, terms(t="small"), customer=b"%016x" % number))
+            await read_reply(reader)
+            number += 1
+        program.terminate()
+        assert await program.wait() == 0
