Close peers that send no whole command in 2.2 s, and evict who rests longest

TERMS owes such a peer an error line or a close within 3 s; the inherited code kept it until its table of clients was full, and then closed the oldest client.

Seen to fail without: five rows of the new test.

--- a/calicomast/net/clients.py
+++ b/calicomast/net/clients.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
+from time import monotonic
 from typing import Any
 
 import hiredis
@@ -14,6 +15,8 @@
 MOST_BODY = 64 * 1024
 MOST_COMMAND = MOST_BODY + 4096  # bytes of one command, framing included
 MOST_PENDING = 512  # commands of one connection in work; past that it is not read
+WHOLE_WITHIN = 2.2  # s for a connection's first command, and for one that has begun, to come whole
+SWEEP = 0.2  # s between looks for those that took longer
 
 
 class Slot:
@@ -37,6 +40,8 @@
         self.reader = Reader(MOST_COMMAND)
         self.pending: deque[Slot] = deque()
         self.partial = 0  # bytes read of a command that is not whole yet
+        self.active = monotonic()  # when the last whole command came, or else the connection
+        self.awaited: float | None = self.active  # since when a command is due; None: between commands
         self.closing = self.broken = self.paused = self.flooded = False
         self.transport: asyncio.Transport
 
@@ -57,9 +62,12 @@
             return
         self.reader.feed(data)
         self.partial += len(data)
+        if self.awaited is None:
+            self.awaited = monotonic()
         try:
             while (command := self.reader.gets()) is not NO_REPLY:
-                self.partial = 0
+                self.partial, self.active = 0, monotonic()
+                self.awaited = self.active if self.reader.has_data() else None
                 slot = Slot(self)
                 self.pending.append(slot)
                 self.server.handler.command(slot, command)
@@ -70,6 +78,12 @@
                 self.fail(b"-ERR command too long\r\n")
         self.throttle()
 
+    def check(self, now: float) -> None:
+        if self.broken or self.flooded or self.awaited is None:
+            return
+        if now - self.awaited > WHOLE_WITHIN:
+            self.fail(b"-ERR no whole command in time\r\n")
+
     def fail(self, answer: bytes) -> None:
         """Framing is lost: nothing more is read; what was taken is still answered first."""
         self.closing = self.broken = True
@@ -116,18 +130,27 @@
         self.clients: dict[Client, None] = {}  # in order of their coming
         self.listener: asyncio.Server | None = None
         self.on_empty: Callable[[], None] | None = None
+        self.sweeping: asyncio.TimerHandle | None = None
 
     async def listen(self, host: str, port: int) -> int:
         loop = asyncio.get_running_loop()
         self.listener = await loop.create_server(lambda: Client(self), host, port, backlog=1024)
+        self.sweep()
         return self.listener.sockets[0].getsockname()[1]
 
+    def sweep(self) -> None:
+        """A peer that sends nothing, or never a whole command, is owed an end to it."""
+        now = monotonic()
+        for client in list(self.clients):
+            client.check(now)
+        self.sweeping = asyncio.get_running_loop().call_later(SWEEP, self.sweep)
+
     def joined(self, client: Client) -> None:
+        """Holds the descriptor limit: the one that is between requests for longest goes."""
         self.clients[client] = None
-        if len(self.clients) > self.most:  # under the descriptor limit: one that is between requests goes
-            idle = next((c for c in self.clients if not c.pending and not c.closing), None)
-            if idle is not None:
-                idle.close_when_done()
+        if len(self.clients) > self.most:
+            idle = [c for c in self.clients if c is not client and not c.pending and not c.closing]
+            min(idle, key=lambda c: c.active, default=client).close_when_done()
 
     def left(self, client: Client) -> None:
         self.clients.pop(client, None)
@@ -138,5 +161,7 @@
         """No new connections; each one that there is closes once all it asked has been answered."""
         if self.listener:
             self.listener.close()
+        if self.sweeping:
+            self.sweeping.cancel()
         for client in list(self.clients):
             client.close_when_done()
--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -1,8 +1,12 @@
 """Clients: bad input, the order of answers, those that leave."""
 
+import time
+
 import pytest
 from netkit import SERVED, VALUE, Node, StubHost, command, on_loop, read_reply, terms
 
+from calicomast.net import clients
+
 
 @pytest.mark.parametrize("bad", [
     b"*1\r\n$7\r\nUNKNOWN\r\n", b"*0\r\n", b"*-1\r\n", b":5\r\n", b"*2\r\n$8\r\nAPI.READ\r\n*0\r\n",
@@ -76,3 +80,40 @@
         for out in host.writers:
             out.write(VALUE)
         assert [await read_reply(reader) for _ in range(3)] == [SERVED, SERVED, b""]
+
+
+@pytest.mark.parametrize("part", [b"", b"*", b"*4\r\n$8\r\nAPI.READ\r\n", command()[:-9],
+                                  command() + b"*1\r\n"])
+@on_loop
+async def test_a_peer_without_a_whole_command_is_not_kept(part, tmp_path, monkeypatch):
+    monkeypatch.setattr(clients, "WHOLE_WITHIN", 0.3)
+    async with StubHost() as host, Node(host, path=tmp_path) as node:
+        reader, writer = await node.connect()
+        writer.write(part)
+        served = SERVED if command() in part else b""
+        assert await reader.read() == served + b"-ERR no whole command in time\r\n"
+
+
+@on_loop
+async def test_a_connection_between_requests_may_rest(tmp_path):
+    async with StubHost() as host, Node(host, path=tmp_path) as node:
+        reader, writer = await node.connect()
+        for name in (b"r1", b"r2"):
+            writer.write(command(name))
+            assert await read_reply(reader) == SERVED
+            for client in list(node.node.clients.clients):
+                client.check(time.monotonic() + 1000)
+
+
+@on_loop
+async def test_past_the_limit_the_connection_that_rests_longest_goes(tmp_path):
+    async with StubHost() as host, Node(host, path=tmp_path) as node:
+        node.node.clients.most = 2
+        peers = [await node.connect() for _ in range(2)]
+        for reader, writer in reversed(peers):
+            writer.write(command(b"x%d" % id(reader)))
+            assert await read_reply(reader) == SERVED
+        assert await node.ask(command(b"r3")) == SERVED
+        assert await peers[1][0].read() == b""
+        peers[0][1].write(command(b"r4"))
+        assert await read_reply(peers[0][0]) == SERVED
