Pause counter calls from the second failure in a row, not the first

On sockets single calls get lost with a connection; each one made the module take the whole counter for silent and refuse unasked for 60 ms. What is charged on a call without answer now stays on the local allowance: each such call renewed it before, and there are more of them now.

Seen to fail without: both new tests.

--- a/calicomast/policy.py
+++ b/calicomast/policy.py
@@ -30,7 +30,7 @@
 USE_SPAN, POOL_SPAN = 10.0, 2.0  # s that a plan's granted use is taken over; part of it that may pass at once
 LOAD_COST = 0.2  # least cost of a unit sent on beyond quota, in its worth: it loads what all share
 QUEUE_HOLD, QUEUE_LEAST = 0.5, 4  # share of the aim spent waiting for a server; requests that always may
-BACKOFF_MOST = 1.0  # s; longest pause between tries of a counter that does not answer
+BACKOFF_MOST, SILENT_AT = 1.0, 2  # s; longest pause of a counter that is silent: so many failures in a row
 OPEN_EPOCH, IDLE_MOST = 5.0, 60.0  # s; life of a count of open attempts, and of an idle account
 CONGESTED = 5.0  # requests held at a server, above which it holds more than it works on well
 PRESSED, PRESS_SPAN = 0.5, 1.5  # part of answers from congested servers that sheds work; s taken over
@@ -75,7 +75,8 @@
         self.phase = stable_hash(self.name, "phase") % 4096 / 4096 * self.length
         self.k = self.window(now)
         self.start = self.k * self.length + self.phase
-        self.lease = self.uncharged = self.put = self.total = self.debt = self.used = self.last_used = 0.0
+        self.lease = self.uncharged = self.adrift = self.put = 0.0  # adrift: charged on calls without answer
+        self.total = self.debt = self.used = self.last_used = 0.0
         self.call, self.full_until, self.seen_at, self.rng, self.dice = None, 0.0, now, rng, rng.random()
         self.waiting: list[str] = []
         # Ceiling: an even share, no failure can pass it; empty at a start, as the last life's use is unknown.
@@ -92,7 +93,7 @@
         debt = max(0.0, self.total + self.uncharged * self.spread - self.plan.burst * (k - self.k))
         self.last_used = self.used if k == self.k + 1 else 0.0
         self.k, self.start = k, k * self.length + self.phase
-        self.lease = self.uncharged = self.put = self.used = self.full_until = 0.0
+        self.lease = self.uncharged = self.adrift = self.put = self.used = self.full_until = 0.0
         self.total, self.debt, self.dice = debt, debt, self.rng.random()
 
     def hold(self, now: float) -> float:
@@ -102,8 +103,8 @@
         return min(self.plan.burst, self.hold(now) - self.total) - self.uncharged
 
     def allowance(self, now: float, silent: bool) -> float:
-        part = max(0.0, min(self.plan.burst, self.hold(now) - self.total)) / self.spread
-        return part if silent else part * ALLOW
+        part = max(0.0, min(self.plan.burst, self.hold(now) - self.total + self.adrift)) / self.spread
+        return (part if silent else part * ALLOW) - self.adrift
 
     def block(self, c1: float) -> int:
         """w = sqrt(c1 A / c2); c2 is the chance that a unit left unspent here is missed elsewhere."""
@@ -127,7 +128,7 @@
         self.slow = 0.5 * settings.gateways / (settings.gateways + CROWD_OF)  # many start as in a crowd
 
     def usable(self, now: float) -> bool:
-        return self.on and now >= self.retry_at
+        return self.on and (now >= self.retry_at or self.fails < SILENT_AT)
 
     def chance(self, gain: float) -> float:
         """Chance that a call is made: the less it can change the decision, the sooner it gives way."""
@@ -139,7 +140,7 @@
             self.fails = 0
         elif now >= self.retry_at:  # a burst of failures counts once
             self.fails += 1
-            self.retry_at = now + min(BACKOFF_MOST, self.timeout * 2.0 ** self.fails)
+            self.retry_at = now + min(BACKOFF_MOST, self.timeout * 2.0 ** (self.fails - 1))
 
 
 class PlanUse:
@@ -514,6 +515,8 @@
             elif call.window == acct.k and event.result != "timeout":
                 acct.uncharged += call.charge  # surely not added: the charge is still owed
                 acct.total -= call.charge
+            elif call.window == acct.k:
+                acct.adrift += call.charge  # else each silent call would renew the allowance
             self.settle_waiting(now, acct)
         elif call.kind == "slot":
             self.slot_counted(now, event, call)
@@ -530,7 +533,7 @@
         kept = min((self.kept(j) for j in jobs), default=0.0)
         over = min(call.ask, max(0.0, math.ceil(total + extra + kept - acct.hold(now))))
         acct.put += mine + extra - over
-        acct.total = total + extra - over
+        acct.total, acct.adrift = total + extra - over, 0.0
         acct.lease += call.ask - over
         need = sum(j.req.units for j in jobs)
         if need:
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -267,3 +267,22 @@
         during += served(w, 1, customer=f"d{k}", spread=60)
         w.now += 0.1
     assert before > 150 and 40 < during <= before + 20
+
+
+def test_one_lost_call_does_not_make_the_counter_silent_for_the_other_customers():
+    w = World()
+    served(w, 1, customer="a", units=4)
+    w.mode = "silent"
+    w.ask(customer="b", units=4)
+    w.mode = "answer"
+    assert served(w, 1, customer="c", units=4) == 1
+    assert w.gw.counter.fails == 0
+
+
+def test_calls_without_answer_do_not_renew_the_local_allowance():
+    w = World(settings(plans=[plan(rate=0.1, burst=40.0)]))
+    w.mode, n = "silent", 0
+    for _ in range(60):
+        n += served(w, 1)
+        w.now += 0.5  # long enough for many calls
+    assert n <= 40 / 2 + 0.1 * 60 + 1
