Read the total after a counter answer that holds no number

TERMS: the amount was added, and a total that can be read is true. Without it the customer's lease was lost and its count stayed full until the window's end.

Seen to fail without: the four rows of the new test.

--- a/calicomast/net/counter.py
+++ b/calicomast/net/counter.py
@@ -25,10 +25,11 @@
 
 
 class Call:
-    __slots__ = ("name", "text", "done", "started", "written", "timer")
+    __slots__ = ("name", "text", "done", "started", "written", "again", "timer")
 
     def __init__(self, name: int, text: bytes, done: Done | None) -> None:
         self.name, self.text, self.done, self.started, self.written = name, text, done, monotonic(), False
+        self.again = False  # it reads the total that a broken answer left out
         self.timer: asyncio.TimerHandle | None = None
 
     def give_up(self) -> None:
@@ -106,11 +107,20 @@
         for line in lines:
             if not self.answer(line.split()):
                 log.warning("counter: unexpected answer %r", line[:80])
-                self.abort()
+                self.spoilt()
                 return
         if len(self.rest) > MOST_LINE:
             log.warning("counter: an answer without end")
-            self.abort()
+            self.spoilt()
+
+    def spoilt(self) -> None:
+        """An answer without a number: the amount was added, so the total is read on the next connection."""
+        if self.calls and self.calls[0].done is not None and not self.calls[0].again:
+            call = self.calls.popleft()
+            _, name, _, lifetime = call.text.split()
+            call.text, call.again = b"incr %s 0 %s\r\n" % (name, lifetime), True
+            self.worked, self.coming = True, [call, *(self.coming or [])]
+        self.abort()
 
     def answer(self, words: list[bytes]) -> bool:
         if not self.calls or not words or (words[0] == b"pong") != (self.calls[0].name == PING):
--- a/tests/test_net_counter.py
+++ b/tests/test_net_counter.py
@@ -103,3 +103,21 @@
             while line.transport is not None:
                 await asyncio.sleep(0)
         counter.close()
+
+
+@pytest.mark.parametrize("odd", [b"ok\r\n", b"ok {}\r\n", b"ok --1\r\n", b"x" * 5000])
+@on_loop
+async def test_after_a_broken_answer_the_total_is_read(odd):
+    async with StubCounter() as stub:
+        counter, results = Counter(("127.0.0.1", stub.port), 5.0), asyncio.Queue()
+        counter.start()
+        while counter.lines[0].transport is None:
+            await asyncio.sleep(0)
+        stub.silent = True
+        counter.add(8, 2.5, 4, lambda name, result, total, elapsed: results.put_nowait((result, total)))
+        await stub.arrived.get()
+        stub.silent = False
+        stub.held[0][0].write(odd)
+        assert await results.get() == ("ok", 2.5)
+        assert [words[2] for words in stub.calls] == [b"2.5", b"0"]
+        counter.close()
