--- a/calicomast/net/hosts.py
+++ b/calicomast/net/hosts.py
@@ -20,6 +20,7 @@
 from calicomast.net.resp import NO_REPLY, Reader
 from calicomast.settings import read_report
 
+MOST_VALUE = 64 * 1024  # bytes that a value holds by the protocol
 MOST_REPLY = 128 * 1024  # bytes of one answer
 IDLE_MARGIN = 0.1  # part of the hosts' idle time by which a connection is closed before them
 IDLE_CHECK = 0.5  # s between looks for idle connections
@@ -141,7 +142,7 @@
 def read_reply(attempt: Attempt, reply: object) -> str:
     """Fills in what the answer says and tells the outcome."""
     if isinstance(reply, list):
-        if not reply or not isinstance(reply[0], bytes):
+        if not reply or not isinstance(reply[0], bytes) or len(reply[0]) > MOST_VALUE:
             return "error"
         attempt.value = reply[0]
         if len(reply) > 1 and isinstance(reply[1], int):
