Take the lease of a counter call whose total comes after the time-out

The add was made, but the answer was thrown away: its units filled the customer's count and nobody could spend them.

Seen to fail without: the new test and the one of the answers' order.

--- a/calicomast/interface.py
+++ b/calicomast/interface.py
@@ -11,7 +11,7 @@
 EFFECTS = ("safe", "keyed", "unsafe")
 SCOPES = ("all", "zone", "cell")
 RESULTS = ("ok", "error", "full", "timeout", "connect_failed", "reset", "cancelled", "moot")
-COUNT_RESULTS = ("ok", "full", "connect_failed", "timeout")
+COUNT_RESULTS = ("ok", "full", "connect_failed", "timeout", "late")  # late: an ok behind its time-out
 MODES = ("delta", "full", "cached", "failed")
 
 
--- a/calicomast/net/counter.py
+++ b/calicomast/net/counter.py
@@ -25,21 +25,26 @@
 
 
 class Call:
-    __slots__ = ("name", "text", "done", "started", "written", "again", "timer")
+    __slots__ = ("name", "text", "done", "started", "written", "again", "late", "timer")
 
     def __init__(self, name: int, text: bytes, done: Done | None) -> None:
         self.name, self.text, self.done, self.started, self.written = name, text, done, monotonic(), False
         self.again = False  # it reads the total that a broken answer left out
+        self.late: Done | None = None  # hears of an answer after the time-out
         self.timer: asyncio.TimerHandle | None = None
 
     def give_up(self) -> None:
         self.end("timeout" if self.written else "connect_failed")  # once written, it may have been added
 
     def end(self, result: str, total: float = 0.0) -> None:
-        """Reports once. What comes after a time-out only keeps the place in the order of answers."""
+        """Reports once, but for a total that comes after a time-out: it is true, and the add was made."""
         if self.timer is not None:
             self.timer.cancel()
         done, self.done = self.done, None
+        if result == "timeout":
+            self.late = done
+        elif done is None and result == "ok":
+            done, result = self.late, "late"
         if done is not None:
             done(self.name, result, total, monotonic() - self.started)
 
--- a/calicomast/policy.py
+++ b/calicomast/policy.py
@@ -24,6 +24,7 @@
 CROWD = 0.3  # worth of a call's time at the full time-out (c1 grows as the counter slows), squared share
 CROWDED, CROWD_STEEP = 0.5, 4.0  # part of the time-out from which a call is rationed; price there, in tries
 CROWD_OF = 20.0  # gateways that are half a crowd, before the counter has been heard
+UNHEARD_MOST = 256  # timed-out calls that are remembered in case that their totals come after all
 SIDE_CALL = 0.15  # worth of a call that only mends a count for others, or finds a limit seldom reached
 SAMPLE_MOST = 4.0  # a sampled charge stands for so many at most: more makes the count jump
 GRANT_PRIOR = (0.5, 0.3)  # share of first tries and of repeats taken to be granted, before any was
@@ -351,6 +352,7 @@
         self.accounts: dict[str, Account] = {}  # in order of their last request
         self.jobs, self.queue = dict[str, Job](), list[Job]()
         self.calls: dict[int, list[Call]] = {}  # by count name, in order of the calls
+        self.unheard: dict[int, Call] = {}  # the last that timed out, by count name
         self.budget = RETRY_START / settings.gateways
         self.top = max(c.worth for c in settings.classes.values())
         self.due: list[tuple[float, str]] = []  # when which job is to be looked at
@@ -501,7 +503,9 @@
         self.out.append(api.Count(name, amount, min(60.0, max(life, 1.0))))
 
     def counted(self, now: float, event: api.Counted) -> None:
-        if event.name not in self.calls:
+        if event.result == "late":
+            self.counted_late(now, event)
+        if event.result == "late" or event.name not in self.calls:
             return
         call, *rest = self.calls.pop(event.name)
         self.calls.update({event.name: rest} if rest else {})
@@ -517,10 +521,21 @@
                 acct.total -= call.charge
             elif call.window == acct.k:
                 acct.adrift += call.charge  # else each silent call would renew the allowance
+                self.unheard[event.name] = call
+                while len(self.unheard) > UNHEARD_MOST:
+                    del self.unheard[next(iter(self.unheard))]
             self.settle_waiting(now, acct)
         elif call.kind == "slot":
             self.slot_counted(now, event, call)
 
+    def counted_late(self, now: float, event: api.Counted) -> None:
+        """The lease is in the count, so it is spent here: left alone, it would fill the count for nobody."""
+        call = self.unheard.pop(event.name, None)
+        if call is not None:
+            call.acct.roll(now)
+            if call.window == call.acct.k:
+                self.granted(now, call.acct, event.total, call)
+
     def granted(self, now: float, acct: Account, total: float, call: Call) -> None:
         mine, extra = call.charge + call.ask + call.extra, 0.0
         if total <= mine and not acct.put:
--- a/tests/test_net_counter.py
+++ b/tests/test_net_counter.py
@@ -24,6 +24,7 @@
         node.counter.silent = False
         add(2)
         node.counter.answer_all()  # the first answer comes now, before or behind the second's request
+        assert await results.get() == ("late", 1.0)
         assert await results.get() == ("ok", 3.0)
         assert [words[1:] for words in node.counter.calls] == [[b"8", b"1", b"4000"], [b"8", b"2", b"4000"]]
 
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -286,3 +286,17 @@
         n += served(w, 1)
         w.now += 0.5  # long enough for many calls
     assert n <= 40 / 2 + 0.1 * 60 + 1
+
+
+def test_a_total_that_comes_after_the_time_out_brings_its_lease():
+    w = World(settings(plans=[plan(rate=0.1, burst=40.0)]))
+    w.mode, calls = "hold", []
+    while not calls:
+        calls = of(w.ask(units=4)[1], api.Count)
+    w.now += 0.05
+    w.do(api.Counted(calls[0].name, "timeout", 0, 0.05))
+    assert w.gw.accounts["c"].lease == 0
+    w.do(api.Counted(calls[0].name, "late", calls[0].amount, 0.08))
+    assert w.gw.accounts["c"].lease > 0
+    w.do(api.Counted(calls[0].name, "late", calls[0].amount, 0.09))  # no call is left that it could belong to
+    assert w.gw.accounts["c"].lease <= calls[0].amount
