--- a/calicomast/interface.py
+++ b/calicomast/interface.py
@@ -219,7 +219,31 @@
     data: bytes
 
 
-Event = HostList | Request | Outcome | Counted | Probed | Timer | Began | Gone | Message
+@dataclass(frozen=True, slots=True)
+class Ban:
+    """An operator's word on a host, whatever the list says of it."""
+
+    host: str
+    out: bool  # False: it may be used again, and is cold: it started at `at`, or later
+    at: float  # clock time at which this was said
+
+
+@dataclass(frozen=True, slots=True)
+class Drain:
+    """Clients are being sent away (on), or come back."""
+
+    on: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Retune:
+    """Settings for the requests that come from now on."""
+
+    settings: Settings
+
+
+Event = (HostList | Request | Outcome | Counted | Probed | Timer | Began | Gone | Message | Ban | Drain
+         | Retune)
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/calicomast/net/bans.py
@@ -0,0 +1,99 @@
+"""The hosts that operators took out, kept where every process of this gateway finds them."""
+
+from __future__ import annotations
+
+import fcntl
+import json
+import logging
+import math
+import os
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+
+from calicomast import interface as api
+
+KEEP_BACK = 60.0  # s for which a host's return is told: it is warm long before
+
+log = logging.getLogger(__name__)
+
+Signature = tuple[int, int, int]
+
+
+def read_bans(text: str) -> dict[str, api.Ban]:
+    """Raises ValueError if it is not what write() makes."""
+    told = json.loads(text)
+    if not isinstance(told, dict):
+        raise ValueError("not an object")
+    bans = {}
+    for host, entry in told.items():
+        if not isinstance(entry, dict) or not isinstance(entry.get("out"), bool):
+            raise ValueError(f"{host!r} is neither out nor back")
+        at = entry.get("at")
+        if isinstance(at, bool) or not isinstance(at, int | float) or not math.isfinite(at):
+            raise ValueError(f"{host!r} has no time")
+        bans[host] = api.Ban(host, entry["out"], float(at))
+    return bans
+
+
+class Bans:
+    """One small file, replaced whole. Without a folder the bans last as long as the process."""
+
+    def __init__(self, folder: Path | None, name: str) -> None:
+        self.path = folder / f"{name}-hosts-out.json" if folder else None
+        self.seen: Signature | None = None
+        self.known: dict[str, api.Ban] = {}
+
+    def signature(self) -> Signature | None:
+        if self.path is None:
+            return None
+        try:
+            status = self.path.stat()
+        except OSError:
+            return None
+        return status.st_ino, status.st_mtime_ns, status.st_size
+
+    def changed(self) -> bool:
+        """Whether another process has written since this one last read or wrote."""
+        return self.path is not None and self.signature() != self.seen
+
+    def read(self) -> dict[str, api.Ban]:
+        """All that is known; a file that is torn or foreign changes nothing."""
+        if self.path is None:
+            return self.known
+        self.seen = self.signature()
+        try:
+            self.known = read_bans(self.path.read_text(encoding="utf-8"))
+        except FileNotFoundError:
+            pass
+        except (OSError, ValueError) as err:
+            log.error("%s: %s; the hosts out stay as they were", self.path, err)
+        return self.known
+
+    def say(self, ban: api.Ban) -> None:
+        """Raises OSError where it cannot be kept."""
+        with self.locked():
+            known = {**self.read(), ban.host: ban}
+            self.known = {h: b for h, b in known.items() if b.out or ban.at - b.at < KEEP_BACK}
+            self.write()
+
+    def write(self) -> None:
+        if self.path is None:
+            return
+        fresh = self.path.with_suffix(".new")  # under the lock, so that a leaving is simply written over
+        fresh.write_text(json.dumps({h: {"out": b.out, "at": b.at} for h, b in self.known.items()}),
+                         encoding="utf-8")
+        fresh.replace(self.path)
+        self.seen = self.signature()
+
+    @contextmanager
+    def locked(self) -> Iterator[None]:
+        if self.path is None:
+            yield
+            return
+        lock = os.open(self.path.with_suffix(".lock"), os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+        try:
+            fcntl.flock(lock, fcntl.LOCK_EX)
+            yield
+        finally:
+            os.close(lock)
--- a/calicomast/net/config.py
+++ b/calicomast/net/config.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterator, Mapping
 from contextlib import contextmanager
 from dataclasses import dataclass
+from pathlib import Path
 
 from calicomast import interface as api
 from calicomast.net.listing import Address, Listing, read_address, read_list
@@ -21,6 +22,9 @@
 class Config:
     name: str
     listen: Address
+    inherited: int | None  # the descriptor of a socket that listens there already
+    control: Address | None  # where operators call
+    scratch: Path | None  # a folder that processes of this gateway share
     discovery: Address
     counter: Address | None
     seed: int
@@ -65,9 +69,14 @@
         counter = told.get("counter")
         if settings.counter and not counter:
             raise ValueError("the settings allow a counter but no address is given")
+        control = env.get("RELAY_CONTROL") or told.get("control")
+        inherited, scratch = env.get("RELAY_SOCKET_FD"), env.get("TMPDIR")
         return Config(
             name=env.get("RELAY_NAME") or told["name"],
             listen=read_address(env.get("RELAY_LISTEN") or told["listen"]),
+            inherited=int(inherited) if inherited else None,
+            control=read_address(control) if control else None,
+            scratch=Path(scratch) if scratch else None,
             discovery=read_address(env.get("RELAY_DISCOVERY") or told["discovery"]),
             counter=read_address(counter) if counter else None,
             seed=int(told["seed"], 16), sockets=int(told["limits"]["sockets"]),
--- a/calicomast/net/gateway.py
+++ b/calicomast/net/gateway.py
@@ -11,14 +11,18 @@
 import math
 import time
 from collections import deque
+from typing import Any
 
 from calicomast import interface as api
+from calicomast.net.bans import Bans
 from calicomast.net.clients import MOST_BODY, ClientServer, Slot
 from calicomast.net.config import Config, ConfigError, read_addresses
+from calicomast.net.control import Control, UnknownHost
 from calicomast.net.counter import Counter
 from calicomast.net.discovery import Discovery
 from calicomast.net.hosts import Attempt, Hosts
 from calicomast.net.listing import Listing
+from calicomast.net.lives import Lives
 from calicomast.policy import Gateway
 
 WAY_BACK = 0.03  # s before the client gives up by which the module is to be done
@@ -28,7 +32,10 @@
 MOST_HELD = 48 * 1024 * 1024  # bytes of bodies in work past which requests are refused: memory is bounded
 SPARE_SOCKETS = 64  # descriptors that are neither clients' nor hosts' connections
 LINGER = 0.5  # s after SIGTERM in which connections still come
-FINISH = 3.4  # s after SIGTERM by which everything is answered: SIGKILL is not far
+KILLED_AT = 3.0  # s after SIGTERM at which SIGKILL may come, where no deadline is shorter
+FINISH = 0.4  # s past that, by which everything is answered
+TURN = 0.02  # s between looks whether all has ended
+LOOK = 0.25  # s between looks at what other processes of this gateway did
 
 FAILED = b"-ERR failed\r\n"
 BUSY = b"-BUSY\r\n"
@@ -86,11 +93,15 @@
         self.works: dict[str, Work] = {}
         self.held = 0  # bytes of bodies in work
         self.events: deque[api.Event] = deque()
-        self.feeding = self.ready = self.stopping = False
-        self.done = asyncio.Event()  # stopping, and nothing is in work
-        room = max(config.sockets - SPARE_SOCKETS, config.sockets // 2)
-        self.clients = ClientServer(self, room // 2)
-        self.hosts = Hosts(config.connect_timeout, config.idle_close, room // 2)
+        self.feeding = self.ready = False
+        self.state = "active"  # or standby: clients are sent away; or stopping, which is for good
+        self.bans, self.lives = Bans(config.scratch, config.name), Lives(config.scratch, config.name)
+        self.said: dict[str, api.Ban] = {}  # the last word on each host that an operator had one on
+        self.known: set[str] = set()  # all hosts that a list has named
+        self.looking: asyncio.TimerHandle | None = None
+        self.clients = ClientServer(self, 0)
+        self.hosts = Hosts(config.connect_timeout, config.idle_close, 0)
+        self.control = Control(self) if config.control else None
         self.counter = Counter(config.counter, self.settings.counter_timeout) if config.counter else None
         self.discovery = Discovery(config.discovery, config.known.hosts.version, self.listed,
                                    self.list_failed)
@@ -103,13 +114,34 @@
 
     async def start(self) -> int:
         """Returns the port that clients connect to. Before the first of them the module knows its hosts."""
+        self.lives.begin()
         self.listed(self.config.known)
+        self.look()
         self.hosts.start_checks()
         if self.counter:
             self.counter.start()
         if self.settings.discovery == "push":
             self.discovery.watch(True)
-        return await self.clients.listen(*self.config.listen)
+        port = await self.clients.listen(*self.config.listen, self.config.inherited)
+        if self.control and self.config.control:
+            await self.control.listen(self.config.control)
+        return port
+
+    def look(self) -> None:
+        """What other processes of this gateway did: they share the bans, the descriptors and the memory."""
+        self.read_bans()
+        self.share(1 + self.lives.others())
+        self.looking = self.loop.call_later(LOOK, self.look)
+
+    def read_bans(self) -> None:
+        if self.bans.changed():
+            for ban in self.bans.read().values():
+                self.ban(ban)
+
+    def share(self, processes: int) -> None:
+        sockets = self.config.sockets
+        room = max(sockets - SPARE_SOCKETS, sockets // 2) // processes
+        self.clients.most = self.hosts.most = room // 2
 
     # Events
 
@@ -149,6 +181,7 @@
     def listed(self, listing: Listing) -> None:
         """The module hears of it between new hosts and those that go: what ends with a host that goes is then
         not sent there once more."""
+        self.known.update(h.id for h in listing.hosts.hosts)
         up = {h.id for h in listing.hosts.hosts if h.state == "up"}
         for host in up & listing.addresses.keys():
             self.hosts.listed(host, listing.addresses[host])
@@ -166,7 +199,7 @@
 
     def command(self, slot: Slot, command: object) -> None:
         if command == [b"PING"] or command == [b"ping"]:
-            slot.reply(PONG if self.ready and not self.stopping else b"-ERR not ready\r\n")
+            slot.reply(PONG if self.serves() else b"-ERR not ready\r\n")
             return
         try:
             self.take(slot, command)
@@ -255,8 +288,6 @@
     def forget(self, work: Work) -> None:
         if work.over and not work.live and self.works.pop(work.id, None):
             self.held -= len(work.command[-1])
-            if self.stopping and not self.works:
-                self.done.set()
 
     # Actions
 
@@ -343,24 +374,85 @@
             log.info("SIGHUP: counter at %s:%d", *counter)
             self.counter.move(counter)
 
+    # Operators
+
+    def serves(self) -> bool:
+        """Whether the clients' address serves: while this process ends, another one may serve there."""
+        return self.ready and (self.state == "active" or self.state == "stopping" and self.succeeded())
+
+    def succeeded(self) -> bool:
+        return self.config.inherited is not None and self.lives.others() > 0
+
+    def status(self) -> dict[str, Any]:
+        ready = self.ready and self.state == "active" and self.clients.listener is not None
+        return {"ready": ready, "state": self.state, "hosts": sorted(self.hosts.pools),
+                "hosts_out": sorted(self.hosts.out), "requests": len(self.works),
+                "clients": len(self.clients.clients)}
+
+    def hand(self, host: str, out: bool) -> None:
+        """Takes a host out, or lets it be used again. A repeat changes nothing."""
+        self.read_bans()
+        if host not in self.known and host not in self.hosts.out:
+            raise UnknownHost(host)
+        if out == (host in self.hosts.out):
+            return
+        ban = api.Ban(host, out, self.clock())
+        self.ban(ban)
+        self.bans.say(ban)
+
+    def ban(self, ban: api.Ban) -> None:
+        if self.said.get(ban.host) == ban:
+            return
+        self.said[ban.host] = ban
+        log.info("host %s is %s", ban.host, "out by hand" if ban.out else "used again")
+        if ban.out:  # what ends with its connections is not to be sent there once more
+            self.feed(ban)
+            self.hosts.take_out(ban.host, True)
+        else:
+            self.hosts.take_out(ban.host, False)
+            self.feed(ban)
+
+    def drain(self, on: bool) -> bool:
+        """Sends clients away, or takes them back; False where the process is at its end."""
+        if self.state == "stopping":
+            return False
+        state = "standby" if on else "active"
+        if state != self.state:
+            self.state = state
+            log.info("drain %s: %d client connections", "begins" if on else "is over",
+                     len(self.clients.clients))
+            self.feed(api.Drain(on))
+            self.clients.drain(on)
+        return True
+
     # The end
 
     async def stop(self) -> None:
-        """After SIGTERM: goes on while connections still come, then finishes what it has taken."""
+        """After SIGTERM: goes on while connections still come, then finishes what it has taken. Where another
+        process serves the same socket, what comes from now on is for that one."""
         began = time.monotonic()
-        self.stopping = True
-        await asyncio.sleep(LINGER)
+        self.state = "stopping"
+        longest = max(cls.deadline for cls in self.settings.classes.values())
+        end = began + min(KILLED_AT, longest) + FINISH
+        if not self.succeeded():
+            await asyncio.sleep(LINGER)
+        self.feed(api.Drain(True))
         self.clients.finish()
-        if self.works:
-            self.done.clear()
-            try:
-                async with asyncio.timeout(began + FINISH - time.monotonic()):
-                    await self.done.wait()
-            except TimeoutError:
-                for work in list(self.works.values()):
-                    self.abandon(work)
-        await asyncio.sleep(0)  # the last answers are written at the end of this turn
+        try:
+            async with asyncio.timeout(end - time.monotonic()):
+                while self.works or self.clients.clients:
+                    await asyncio.sleep(TURN)
+        except TimeoutError:
+            for work in list(self.works.values()):
+                self.abandon(work)
+            await asyncio.sleep(0)  # the last answers are written at the end of this turn
+        self.clients.close()
+        if self.control:
+            self.control.close()
+        if self.looking:
+            self.looking.cancel()
         self.hosts.close()
         if self.counter:
             self.counter.close()
         await self.discovery.close()
+        self.lives.end()
--- a/calicomast/net/hosts.py
+++ b/calicomast/net/hosts.py
@@ -237,12 +237,29 @@
         self.connect_timeout, self.most = connect_timeout, most
         self.idle_time = idle_close * (1 - IDLE_MARGIN) - IDLE_CHECK
         self.pools: dict[str, Pool] = {}
+        self.places: dict[str, Address] = {}  # where the list says that hosts are up
+        self.out: set[str] = set()  # hosts that an operator took out
         self.conns: set[Connection] = set()
         self.check: asyncio.TimerHandle | None = None
 
     def listed(self, host: str, address: Address | None) -> None:
         """Where the host is now; None: nothing new goes to it."""
-        pool = self.pools.get(host)
+        if address is not None:
+            self.places[host] = address
+        else:
+            self.places.pop(host, None)
+        self.settle(host)
+
+    def take_out(self, host: str, out: bool) -> None:
+        """Out: nothing new goes to the host, wherever the list says that it is."""
+        if out:
+            self.out.add(host)
+        else:
+            self.out.discard(host)
+        self.settle(host)
+
+    def settle(self, host: str) -> None:
+        address, pool = None if host in self.out else self.places.get(host), self.pools.get(host)
         if pool is not None and pool.address != address:
             pool.stop()
             del self.pools[host]
--- /dev/null
+++ b/calicomast/net/lives.py
@@ -0,0 +1,50 @@
+"""Which processes of this gateway live: two do while a new version takes over."""
+
+from __future__ import annotations
+
+import contextlib
+import fcntl
+import os
+import tempfile
+from pathlib import Path
+
+
+class Lives:
+    """Each process holds the lock of a file of its own, which ends with it however it ends."""
+
+    def __init__(self, folder: Path | None, name: str) -> None:
+        self.folder, self.prefix = folder, f"{name}-life-"
+        self.lock, self.path = -1, ""
+
+    def begin(self) -> None:
+        if self.folder is not None:
+            self.lock, self.path = tempfile.mkstemp(prefix=self.prefix, dir=self.folder)
+            fcntl.flock(self.lock, fcntl.LOCK_EX)
+
+    def others(self) -> int:
+        """How many others live. What earlier lives left behind is removed."""
+        if self.folder is None:
+            return 0
+        return sum(self.held(path) for path in self.folder.glob(self.prefix + "*") if str(path) != self.path)
+
+    def held(self, path: Path) -> bool:
+        try:
+            file = os.open(path, os.O_RDWR | os.O_CLOEXEC)
+        except OSError:  # it has just gone
+            return False
+        try:
+            fcntl.flock(file, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except BlockingIOError:
+            return True
+        else:
+            path.unlink(missing_ok=True)
+            return False
+        finally:
+            os.close(file)
+
+    def end(self) -> None:
+        if self.lock >= 0:
+            with contextlib.suppress(OSError):
+                os.unlink(self.path)
+            os.close(self.lock)
+            self.lock = -1
--- a/calicomast/policy.py
+++ b/calicomast/policy.py
@@ -178,6 +178,9 @@
         self.hosts: dict[tuple[str, str], tuple[float, float]] = {}
         self.pool: dict[str, float] = {}
 
+    def forget(self, host: str) -> None:
+        self.hosts = {at: known for at, known in self.hosts.items() if at[0] != host}
+
     def at(self, host: str, key: str, now: float) -> float:
         pool = self.pool.get(key, DOUBT_LEAST)
         known = self.hosts.get((host, key))
@@ -199,14 +202,15 @@
 
 
 class Server:
-    def __init__(self, host: api.Host, now: float, credit: float, out: dict) -> None:
+    def __init__(self, host: api.Host, now: float, credit: float, out: dict, began: float) -> None:
         self.host, self.up, self.out = host, host.state == "up", out  # attempts out: when sent
+        self.began = began  # when it started, as far as is known; 0: long ago
         self.others, self.others_at, self.ratio = 0.0, -math.inf, 1.0  # ratio: time against the fleet's
         self.credit, self.credit_at, self.dice = credit, now, credit  # sends it may get from here while cold
 
     def warmth(self, now: float, rules: api.Rules) -> float:
-        age = max(0.0, now - self.host.started)
-        cold = 0 < self.host.started and age < rules.cold_time
+        age = max(0.0, now - self.began)
+        cold = 0 < self.began and age < rules.cold_time
         return rules.cold_share + (1 - rules.cold_share) * age / rules.cold_time if cold else 1.0
 
 
@@ -214,7 +218,8 @@
     def __init__(self, settings: api.Settings, rng: random.Random) -> None:
         self.set, self.rng, self.doubt = settings, rng, Doubt()
         self.servers: dict[str, Server] = {}
-        self.up: list[Server] = []
+        self.up: list[Server] = []  # listed as up, and not banned
+        self.banned: dict[str, float] = {}  # hosts that an operator took out, and when
         self.limit = max(1.0, LIMIT_MOST / settings.gateways)
         self.mean = {c.name: min(c.aim / 5, c.deadline) for c in settings.classes.values()}
         self.dev, self.seen = dict(self.mean), dict.fromkeys(self.mean, 0)
@@ -232,10 +237,26 @@
             old = self.servers.get(host.id)
             if old is None or (host.state == "up" and host.started > old.host.started):
                 # Credit starts anywhere below one send: first sends of many gateways are spread over time.
-                self.servers[host.id] = Server(host, now, self.rng.random(), old.out if old else {})
+                self.servers[host.id] = Server(host, now, self.rng.random(), old.out if old else {},
+                                               host.started)
             else:
                 old.host, old.up = host, host.state == "up"
-        self.up = [s for s in self.servers.values() if s.up]
+        self.refresh()
+
+    def ban(self, now: float, event: api.Ban) -> None:
+        """What is known of a host ends with its ban: it was restarted meanwhile, or may have been."""
+        if event.out:
+            self.banned[event.host] = event.at
+        else:
+            since, old = self.banned.pop(event.host, event.at), self.servers.get(event.host)
+            self.doubt.forget(event.host)
+            if old is not None:
+                began = old.host.started if old.host.started > since else event.at
+                self.servers[event.host] = Server(old.host, now, self.rng.random(), old.out, began)
+        self.refresh()
+
+    def refresh(self) -> None:
+        self.up = [s for name, s in self.servers.items() if s.up and name not in self.banned]
         self.top = max((s.host.weight for s in self.up), default=1.0) or 1.0
 
     def mean_held(self) -> float:
@@ -357,6 +378,7 @@
         self.top = max(c.worth for c in settings.classes.values())
         self.due: list[tuple[float, str]] = []  # when which job is to be looked at
         self.timer_at = self.watch_at = math.inf
+        self.draining = False  # clients are sent away: leases sought ahead would lapse unused
         self.pass_share, self.pass_at, self.worth = 1.0, now, 0.0  # worth: running mean of a request's
         self.ranks: list[float] = []  # values of the latest requests
         self.out: list[api.Action] = []
@@ -380,6 +402,10 @@
                     self.out.append(api.Watch(True))
             case api.Began() if event.id in self.jobs:
                 self.jobs[event.id].streaming = True
+            case api.Ban():
+                self.fleet.ban(now, event)
+            case api.Drain():
+                self.draining = event.on
             case api.Gone() if event.id in self.jobs:
                 self.close(now, self.jobs[event.id])
         self.drain_queue(now)
@@ -483,7 +509,8 @@
         if acct.call is not None or not self.counter.usable(now):
             return
         need = sum(self.jobs[i].req.units for i in acct.waiting if i in self.jobs)
-        w, room = acct.block(self.counter.price + CROWD * self.counter.slow ** 2), acct.room(now)
+        w = 0 if self.draining else acct.block(self.counter.price + CROWD * self.counter.slow ** 2)
+        room = acct.room(now)
         more = acct.lease < w / 2 and room > w * acct.spread and now >= acct.full_until
         due = acct.uncharged > max(1.0, CHARGE_AT * acct.allowance(now, False))
         if not (need or due or (acct.put and more)):
