--- a/calicomast/net/config.py
+++ b/calicomast/net/config.py
@@ -6,8 +6,9 @@
 import os
 from collections.abc import Iterator, Mapping
 from contextlib import contextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
+from typing import Any
 
 from calicomast import interface as api
 from calicomast.net.listing import Address, Listing, read_address, read_list
@@ -34,6 +35,7 @@
     connect_timeout: float
     idle_close: float  # hosts close a connection that has stood idle for this long
     max_open: int  # requests in work at once
+    tree: dict[str, Any]  # the file itself: a later one must be as complete
 
 
 @contextmanager
@@ -43,43 +45,73 @@
         yield
     except KeyError as err:
         raise ConfigError(f"{path}: missing or unknown {err}") from err
-    except (OSError, ValueError, TypeError, AttributeError) as err:
+    except (OSError, ValueError, TypeError, AttributeError, OverflowError, RecursionError) as err:
         raise ConfigError(f"{path}: {' '.join(str(err).split())}") from err
 
 
-def read_addresses(env: Mapping[str, str] = os.environ) -> tuple[Address, Address | None]:
-    """Where discovery and the counter are by the file as it stands now. The environment of a program that
-    runs cannot change, so here the file counts and not RELAY_DISCOVERY."""
-    path = env.get("RELAY_CONFIG", "")
-    with in_one_line(path), open(path, encoding="utf-8") as file:
-        told = json.load(file)
-        counter = told.get("counter")
-        return read_address(told["discovery"]), read_address(counter) if counter else None
-
-
 def read_config(env: Mapping[str, str] = os.environ) -> Config:
     path = env.get("RELAY_CONFIG")
     if not path:
         raise ConfigError("RELAY_CONFIG is not set")
     with in_one_line(path), open(path, encoding="utf-8") as file:
-        told = json.load(file)
-        tree = told["settings"]
-        limits = tree["limits"]
-        settings = read_settings(tree)
-        counter = told.get("counter")
-        if settings.counter and not counter:
-            raise ValueError("the settings allow a counter but no address is given")
-        control = env.get("RELAY_CONTROL") or told.get("control")
-        inherited, scratch = env.get("RELAY_SOCKET_FD"), env.get("TMPDIR")
-        return Config(
-            name=env.get("RELAY_NAME") or told["name"],
-            listen=read_address(env.get("RELAY_LISTEN") or told["listen"]),
-            inherited=int(inherited) if inherited else None,
-            control=read_address(control) if control else None,
-            scratch=Path(scratch) if scratch else None,
-            discovery=read_address(env.get("RELAY_DISCOVERY") or told["discovery"]),
-            counter=read_address(counter) if counter else None,
-            seed=int(told["seed"], 16), sockets=int(told["limits"]["sockets"]),
-            known=read_list(told["known"], "cached"), settings=settings,
-            connect_timeout=seconds(limits["connect_timeout"]), idle_close=seconds(limits["idle_close"]),
-            max_open=int(limits["max_open"]))
+        return build(json.load(file), env)
+
+
+def reread_config(last: Config, env: Mapping[str, str] = os.environ) -> Config:
+    """What the file says now; ConfigError if it says less than the last one. The environment of a program
+    that runs cannot change, so here the file counts and not RELAY_DISCOVERY; what is listened on stays."""
+    path = env.get("RELAY_CONFIG", "")
+    with in_one_line(path), open(path, encoding="utf-8") as file:
+        tree = json.load(file)
+        complete({key: None for key in last.tree}, tree, "the file")
+        complete(last.tree["settings"], tree["settings"], "settings")
+        fresh = build(tree, {})
+    return replace(fresh, name=last.name, listen=last.listen, inherited=last.inherited, control=last.control,
+                   scratch=last.scratch, seed=last.seed, known=last.known)
+
+
+def complete(last: Any, fresh: Any, name: str) -> None:
+    """Raises ValueError unless `fresh` has each key that `last` has, and values of the same kinds. Of the
+    objects in a list each has what all of them had."""
+    if last is None:
+        return
+    if kind(last) != kind(fresh):
+        raise ValueError(f"{name} is {kind(fresh)} and not {kind(last)}")
+    if isinstance(last, dict):
+        for key, value in last.items():
+            if key not in fresh:
+                raise ValueError(f"{name}: {key!r} is missing")
+            complete(value, fresh[key], f"{name}.{key}")
+    elif isinstance(last, list) and last and all(isinstance(entry, dict) for entry in last):
+        common = {key: value for key, value in last[0].items() if all(key in entry for entry in last)}
+        for number, entry in enumerate(fresh):
+            complete(common, entry, f"{name}.{number}")
+
+
+def kind(value: Any) -> str:
+    if isinstance(value, bool):
+        return "true or false"
+    return "a number" if isinstance(value, int | float) else type(value).__name__
+
+
+def build(told: dict[str, Any], env: Mapping[str, str]) -> Config:
+    """What the file and the environment say; the environment goes first."""
+    tree = told["settings"]
+    limits = tree["limits"]
+    settings = read_settings(tree)
+    counter, control = told.get("counter"), env.get("RELAY_CONTROL") or told.get("control")
+    if settings.counter and not counter:
+        raise ValueError("the settings allow a counter but no address is given")
+    inherited, scratch = env.get("RELAY_SOCKET_FD"), env.get("TMPDIR")
+    return Config(
+        name=env.get("RELAY_NAME") or told["name"],
+        listen=read_address(env.get("RELAY_LISTEN") or told["listen"]),
+        inherited=int(inherited) if inherited else None,
+        control=read_address(control) if control else None,
+        scratch=Path(scratch) if scratch else None,
+        discovery=read_address(env.get("RELAY_DISCOVERY") or told["discovery"]),
+        counter=read_address(counter) if counter else None,
+        seed=int(told["seed"], 16), sockets=int(told["limits"]["sockets"]),
+        known=read_list(told["known"], "cached"), settings=settings,
+        connect_timeout=seconds(limits["connect_timeout"]), idle_close=seconds(limits["idle_close"]),
+        max_open=int(limits["max_open"]), tree=told)
--- a/calicomast/net/counter.py
+++ b/calicomast/net/counter.py
@@ -218,9 +218,11 @@
         else:
             loop.call_soon(call.give_up)
 
-    def move(self, address: Address) -> None:
+    def retune(self, address: Address, timeout: float) -> None:
+        self.timeout = timeout
         for line in self.lines:
-            line.move(address)
+            if line.address != address:
+                line.move(address)
 
     def close(self) -> None:
         for task in self.tasks:
--- a/calicomast/net/gateway.py
+++ b/calicomast/net/gateway.py
@@ -16,7 +16,7 @@
 from calicomast import interface as api
 from calicomast.net.bans import Bans
 from calicomast.net.clients import MOST_BODY, ClientServer, Slot
-from calicomast.net.config import Config, ConfigError, read_addresses
+from calicomast.net.config import Config, ConfigError, reread_config
 from calicomast.net.control import Control, UnknownHost
 from calicomast.net.counter import Counter
 from calicomast.net.discovery import Discovery
@@ -57,10 +57,12 @@
 class Work:
     """A request that was taken: where its answer goes, what goes to hosts, and what is out for it."""
 
-    __slots__ = ("id", "slot", "command", "deadline", "guard", "sends", "live", "over")
+    __slots__ = ("id", "slot", "command", "deadline", "limits", "guard", "sends", "live", "over")
 
-    def __init__(self, id: str, slot: Slot, command: list[bytes], deadline: float) -> None:
+    def __init__(self, id: str, slot: Slot, command: list[bytes], deadline: float,
+                 limits: api.Limits) -> None:
         self.id, self.slot, self.command, self.deadline = id, slot, command, deadline
+        self.limits = limits
         self.guard: asyncio.TimerHandle | None = None
         self.sends = 0
         self.live: dict[int, Attempt] = {}
@@ -227,7 +229,7 @@
             slot.reply(BUSY)
             return
         now = time.monotonic()
-        work = Work(request.id, slot, command, now + request.left)
+        work = Work(request.id, slot, command, now + request.left, self.settings.limits)
         slot.token = work
         self.works[request.id] = work
         self.held += len(command[-1])
@@ -306,8 +308,8 @@
             return
         number, left = work.sends, work.deadline - time.monotonic()
         work.sends += 1
-        if left <= 0 or number >= self.settings.limits.max_attempts or (
-                work.live and not self.settings.limits.second_copies):
+        if left <= 0 or number >= work.limits.max_attempts or (
+                work.live and not work.limits.second_copies):
             self.feed(api.Outcome(work.id, number, action.host, "moot", 0.0, False))
             return
         wait = min(left, action.timeout) if action.timeout > 0 else left
@@ -362,17 +364,22 @@
     # Reconfiguration
 
     def reload(self) -> None:
-        """After SIGHUP: to the addresses that the file gives now. One that cannot be used changes nothing."""
+        """After SIGHUP: to what the file says now. One that cannot be used changes nothing. Requests in work
+        keep what they began with."""
         try:
-            discovery, counter = read_addresses()
+            fresh = reread_config(self.config)
         except ConfigError as err:
-            log.error("SIGHUP: %s; the old addresses stay", err)
+            log.error("SIGHUP: %s; nothing changes", err)
             return
-        log.info("SIGHUP: discovery at %s:%d", *discovery)
-        self.discovery.move(discovery)
-        if self.counter and counter:
-            log.info("SIGHUP: counter at %s:%d", *counter)
-            self.counter.move(counter)
+        last, self.config, self.settings = self.config, fresh, fresh.settings
+        log.info("SIGHUP: %d classes, %d plans, discovery at %s:%d", len(fresh.settings.classes),
+                 len(fresh.settings.plans), *fresh.discovery)
+        self.hosts.retune(fresh.connect_timeout, fresh.idle_close)
+        self.feed(api.Retune(fresh.settings))
+        if fresh.discovery != last.discovery:
+            self.discovery.move(fresh.discovery)
+        if self.counter and fresh.counter:
+            self.counter.retune(fresh.counter, fresh.settings.counter_timeout)
 
     # Operators
 
--- a/calicomast/net/hosts.py
+++ b/calicomast/net/hosts.py
@@ -234,14 +234,17 @@
 
 class Hosts:
     def __init__(self, connect_timeout: float, idle_close: float, most: int) -> None:
-        self.connect_timeout, self.most = connect_timeout, most
-        self.idle_time = idle_close * (1 - IDLE_MARGIN) - IDLE_CHECK
+        self.most = most
+        self.retune(connect_timeout, idle_close)
         self.pools: dict[str, Pool] = {}
         self.places: dict[str, Address] = {}  # where the list says that hosts are up
         self.out: set[str] = set()  # hosts that an operator took out
         self.conns: set[Connection] = set()
         self.check: asyncio.TimerHandle | None = None
 
+    def retune(self, connect_timeout: float, idle_close: float) -> None:
+        self.connect_timeout, self.idle_time = connect_timeout, idle_close * (1 - IDLE_MARGIN) - IDLE_CHECK
+
     def listed(self, host: str, address: Address | None) -> None:
         """Where the host is now; None: nothing new goes to it."""
         if address is not None:
--- a/calicomast/policy.py
+++ b/calicomast/policy.py
@@ -124,10 +124,13 @@
 
 class Counter:
     def __init__(self, settings: api.Settings) -> None:
-        self.on, self.timeout, self.price = settings.counter, settings.counter_timeout, settings.counter_price
+        self.retune(settings)
         self.fails, self.retry_at = int(not self.on), 0.0
         self.slow = 0.5 * settings.gateways / (settings.gateways + CROWD_OF)  # many start as in a crowd
 
+    def retune(self, settings: api.Settings) -> None:
+        self.on, self.timeout, self.price = settings.counter, settings.counter_timeout, settings.counter_price
+
     def usable(self, now: float) -> bool:
         return self.on and (now >= self.retry_at or self.fails < SILENT_AT)
 
@@ -216,17 +219,24 @@
 
 class Fleet:
     def __init__(self, settings: api.Settings, rng: random.Random) -> None:
-        self.set, self.rng, self.doubt = settings, rng, Doubt()
+        self.rng, self.doubt = rng, Doubt()
         self.servers: dict[str, Server] = {}
         self.up: list[Server] = []  # listed as up, and not banned
         self.banned: dict[str, float] = {}  # hosts that an operator took out, and when
-        self.limit = max(1.0, LIMIT_MOST / settings.gateways)
-        self.mean = {c.name: min(c.aim / 5, c.deadline) for c in settings.classes.values()}
-        self.dev, self.seen = dict(self.mean), dict.fromkeys(self.mean, 0)
+        self.mean, self.dev, self.seen = dict[str, float](), dict[str, float](), dict[str, int]()
         self.rate, self.rate_at = 0.0, 0.0  # own sends a second
         self.out, self.held, self.reports = 0, 0.0, False  # own attempts out; mean load of reports, if any
         self.pressure, self.answer_at = 0.0, 0.0
         self.top = 1.0  # largest weight
+        self.retune(settings)
+
+    def retune(self, settings: api.Settings) -> None:
+        """A class that is new has no history; one that is gone keeps its own, for what is still open."""
+        self.set, self.limit = settings, max(1.0, LIMIT_MOST / settings.gateways)
+        for c in settings.classes.values():
+            if c.name not in self.mean:
+                self.mean[c.name] = self.dev[c.name] = min(c.aim / 5, c.deadline)
+                self.seen[c.name] = 0
 
     def listed(self, now: float, event: api.HostList) -> None:
         if event.mode not in ("delta", "failed"):
@@ -353,6 +363,7 @@
     worth: float
     value: float  # worth a unit of work
     keys: tuple[str, ...]  # levels at which a host may fail it: wholly, for its class, for its plan
+    limits: api.Limits
     stage: str = "units"  # units, slot, queue, sent
     beyond: bool = False
     slot: int = 0  # open attempt held: own part -1, or the epoch of the shared count
@@ -406,6 +417,8 @@
                 self.fleet.ban(now, event)
             case api.Drain():
                 self.draining = event.on
+            case api.Retune():
+                self.retune(now, event.settings)
             case api.Gone() if event.id in self.jobs:
                 self.close(now, self.jobs[event.id])
         self.drain_queue(now)
@@ -417,10 +430,19 @@
             self.out.append(api.SetTimer(max(0.0, at - now), 0))
         return self.out
 
+    def retune(self, now: float, settings: api.Settings) -> None:
+        """For what comes from now on: a job keeps its class, its plan and the limits that it began with."""
+        self.set = settings
+        self.fleet.retune(settings)
+        self.counter.retune(settings)
+        for key in itertools.product(settings.plans, (0, 1)):
+            self.uses.setdefault(key, PlanUse(now, GRANT_PRIOR[key[1]]))
+        self.top = max(c.worth for c in settings.classes.values())
+
     def request(self, now: float, req: api.Request) -> None:
         cls, plan = self.set.classes[req.cls], self.set.plans[req.plan]
         acct = self.accounts.pop(req.customer, None)
-        if acct is None:
+        if acct is None or acct.plan != plan:  # of another plan the windows are others
             acct = Account(req, plan, self.born, now, self.rng)
         self.accounts[req.customer], acct.seen_at = acct, now
         oldest = next(iter(self.accounts.values()))
@@ -430,7 +452,7 @@
         self.worth += (GAIN if self.worth else 1.0) * (worth - self.worth)
         job = self.jobs[req.id] = Job(req, cls, plan, acct, now, now + req.left, worth,
                                       worth / max(self.fleet.mean[cls.name], 1e-6),
-                                      ("host", "class " + cls.name, "plan " + plan.name))
+                                      ("host", "class " + cls.name, "plan " + plan.name), self.set.limits)
         if req.left < 2 * TICK or self.shed(now, job):  # no check would come round in time, or no room
             self.refuse(now, job, 0.0)
         elif acct.ceiling_room(now) < req.units:
@@ -663,7 +685,7 @@
     def refuse(self, now: float, job: Job, wait: float) -> None:
         ran = job.cls.effect != "safe" and (job.cls.effect, job.cls.scope) != ("keyed", "all")
         if not (ran and (job.ran or job.live)):
-            most = self.set.limits.max_retry_after if self.set.limits.retry_after else 0.0
+            most = job.limits.max_retry_after if job.limits.retry_after else 0.0
             self.out.append(api.Refuse(job.req.id, min(max(wait, 0.0), most)))
         else:
             self.out.append(api.Fail(job.req.id))
@@ -672,7 +694,7 @@
     def close(self, now: float, job: Job) -> None:
         job.done = True
         self.jobs.pop(job.req.id, None)
-        self.out += [api.Cancel(job.req.id, number) for number in job.live if self.set.limits.cancel]
+        self.out += [api.Cancel(job.req.id, number) for number in job.live if job.limits.cancel]
         if job.slot > 0:
             self.count_open(job.acct, job.slot, -1)
         job.acct.open_here -= job.slot < 0
@@ -692,9 +714,9 @@
         return self.fleet.pick(now, job.keys, fits)
 
     def send(self, now: float, job: Job) -> bool:
-        if job.sends >= self.set.limits.max_attempts or job.streaming:
+        if job.sends >= job.limits.max_attempts or job.streaming:
             return False
-        s = self.choose(now, job) if self.set.limits.second_copies or not job.live else None
+        s = self.choose(now, job) if job.limits.second_copies or not job.live else None
         if s is None:
             return False
         self.out.append(api.Send(job.req.id, s.host.id))
@@ -774,7 +796,7 @@
         self.look(now + max(2 * TICK, self.fleet.dev[job.cls.name]), job)
         if not late or len(job.live) > 1 or job.cls.effect == "unsafe" or self.budget < 1.0:
             return
-        if self.set.limits.second_copies:
+        if job.limits.second_copies:
             self.budget -= self.send(now, job)
-        elif self.set.limits.cancel and job.sends < self.set.limits.max_attempts and self.choose(now, job):
+        elif job.limits.cancel and job.sends < job.limits.max_attempts and self.choose(now, job):
             self.out.append(api.Cancel(job.req.id, late[0]))  # its outcome starts the next attempt
