--- a/calicomast/net/config.py
+++ b/calicomast/net/config.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import socket
 from collections.abc import Iterator, Mapping
 from contextlib import contextmanager
 from dataclasses import dataclass, replace
@@ -94,6 +95,14 @@
     return "a number" if isinstance(value, int | float) else type(value).__name__
 
 
+def read_descriptor(text: str) -> int:
+    """Raises ValueError or OSError unless it is one of a socket that listens."""
+    with socket.socket(fileno=os.dup(int(text))) as sock:
+        if not sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+            raise ValueError(f"descriptor {text} does not listen")
+    return int(text)
+
+
 def build(told: dict[str, Any], env: Mapping[str, str]) -> Config:
     """What the file and the environment say; the environment goes first."""
     tree = told["settings"]
@@ -106,7 +115,7 @@
     return Config(
         name=env.get("RELAY_NAME") or told["name"],
         listen=read_address(env.get("RELAY_LISTEN") or told["listen"]),
-        inherited=int(inherited) if inherited else None,
+        inherited=read_descriptor(inherited) if inherited else None,
         control=read_address(control) if control else None,
         scratch=Path(scratch) if scratch else None,
         discovery=read_address(env.get("RELAY_DISCOVERY") or told["discovery"]),
--- a/calicomast/net/control.py
+++ b/calicomast/net/control.py
@@ -102,6 +102,7 @@
 
 def names(request: web.BaseRequest, *wanted: str) -> list[str]:
     """The values of exactly these names in the query. Raises ValueError if it holds others."""
-    if sorted(request.query) != sorted(wanted) or not all(request.query.values()):
+    if [name for name, _ in sorted(request.query.items())] != sorted(wanted) or (
+            not all(request.query.values())):
         raise ValueError(f"the query must hold {' and '.join(wanted) or 'nothing'}")
     return [request.query[name] for name in wanted]
--- a/tests/netkit.py
+++ b/tests/netkit.py
@@ -71,6 +71,20 @@
     return line
 
 
+async def control(port, call):
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(b"%s HTTP/1.1\r\nHost: gateway\r\n\r\n" % call.encode())
+    head, _, body = (await reader.read()).partition(b"\r\n\r\n")
+    writer.close()
+    return int(head.split()[1]), json.loads(body) if body and b"json" in head else {}
+
+
+async def until(check):
+    """Waits for a condition; the test's own patience bounds it."""
+    while not check():
+        await asyncio.sleep(0.01)
+
+
 class Served:
     """A listener on a free port of 127.0.0.1."""
 
@@ -228,10 +242,16 @@
         self.discovery.servers = listed
         file = self.path / "config.json"
         file.write_text(json.dumps(told(listed, self.discovery.port, self.counter.port, self.settings)))
-        self.node = GatewayNode(read_config({"RELAY_CONFIG": str(file)}))
+        env = {"RELAY_CONFIG": str(file), "RELAY_CONTROL": "127.0.0.1:0", "TMPDIR": str(self.path)}
+        self.node = GatewayNode(read_config(env))
         self.port = await self.node.start()
+        self.control_port = self.node.control.listener.sockets[0].getsockname()[1]
         return self
 
+    async def call(self, call):
+        """One call on the second address, such as `GET /status`; its status and what it tells."""
+        return await control(self.control_port, call)
+
     async def connect(self):
         reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
         self.writers.append(writer)
@@ -248,7 +268,12 @@
     async def __aexit__(self, *_):
         for writer in self.writers:
             writer.close()
+        if self.node.looking:
+            self.node.looking.cancel()
         self.node.clients.finish()
+        self.node.clients.close()
+        self.node.control.close()
+        self.node.lives.end()
         self.node.hosts.close()
         self.node.counter.close()
         await self.node.discovery.close()
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -49,3 +49,34 @@
             w.now += 0.1
     assert calls[0.045] < 0.7 * calls[0.001]
     assert most[0.001] <= 1.1 and 1.1 < most[0.045] <= 4.0
+
+
+def test_a_banned_host_gets_nothing_whatever_the_list_says_and_is_cold_when_it_returns():
+    w = World(settings(plans=[BIG], gateways=1), [host("h1"), host("h2")])
+    w.do(api.Ban("h1", True, w.now))
+    w.do(api.HostList("full", 2, (host("h1"), host("h2"), host("h3"))))
+    sends = [s for _ in range(12) for s in of(w.ask()[1], api.Send)]
+    assert {s.host for s in sends} == {"h2", "h3"}
+    failed = [s for end in sends for s in of(w.end(end, "error"), api.Send)]
+    assert failed and "h1" not in {s.host for s in failed}
+    w.now += 5.0
+    w.do(api.Ban("h1", False, w.now))
+    server = w.gw.fleet.servers["h1"]
+    assert server.warmth(w.now, w.conf.rules) == 0.2 and server in w.gw.fleet.up
+    assert server.warmth(w.now + 10.0, w.conf.rules) == 1.0
+
+
+def test_a_start_that_the_list_told_during_the_ban_is_the_one_that_counts():
+    w = World(settings(plans=[BIG]), [host("h1"), host("h2")])
+    w.do(api.Ban("h1", True, w.now))
+    w.do(api.HostList("delta", 2, (host("h1", started=w.now + 1.0),)))
+    w.now += 6.0
+    w.do(api.Ban("h1", False, w.now))
+    assert abs(w.gw.fleet.servers["h1"].warmth(w.now, w.conf.rules) - 0.6) < 1e-9
+
+
+def test_a_return_is_heard_of_by_a_process_that_did_not_see_the_ban():
+    w = World(settings(plans=[BIG]), [host("h1"), host("h2")])
+    w.do(api.Ban("h1", False, w.now - 5.0))
+    w.do(api.Ban("h9", False, w.now))  # of a host that no list has named here
+    assert abs(w.gw.fleet.servers["h1"].warmth(w.now, w.conf.rules) - 0.6) < 1e-9
--- /dev/null
+++ b/tests/test_net_bans.py
@@ -0,0 +1,56 @@
+"""The file of hosts out by hand, and which processes live."""
+
+import os
+
+import pytest
+
+from calicomast import interface as api
+from calicomast.net.bans import Bans
+from calicomast.net.lives import Lives
+
+
+def test_what_one_process_says_another_reads(tmp_path):
+    one, two = Bans(tmp_path, "n0"), Bans(tmp_path, "n0")
+    assert not two.changed()
+    one.say(api.Ban("h1", True, 5.0))
+    two.say(api.Ban("h2", True, 6.0))
+    assert one.changed() and not two.changed()
+    assert one.read() == two.known == {"h1": api.Ban("h1", True, 5.0), "h2": api.Ban("h2", True, 6.0)}
+    one.say(api.Ban("h1", False, 7.0))
+    assert two.read()["h1"] == api.Ban("h1", False, 7.0)
+    one.say(api.Ban("h3", True, 1000.0))
+    assert "h1" not in two.read() and two.known["h2"].out  # a return is forgotten in time, a ban never
+
+
+@pytest.mark.parametrize("text", [
+    "", "{", "[]", "null", '{"h1": 1}', '{"h1": {"out": 1, "at": 2}}', '{"h1": {"out": true}}',
+    '{"h1": {"out": true, "at": NaN}}', '{"h1": {"out": true, "at": true}}', "\x00\xff"])
+def test_a_torn_or_foreign_file_changes_nothing_and_is_written_over(text, tmp_path):
+    bans = Bans(tmp_path, "n0")
+    bans.say(api.Ban("h1", True, 5.0))
+    bans.path.write_text(text, encoding="latin-1")
+    assert bans.changed() and bans.read() == {"h1": api.Ban("h1", True, 5.0)} and not bans.changed()
+    (tmp_path / "n0-hosts-out.new").write_text("left behind")
+    bans.say(api.Ban("h2", True, 6.0))
+    assert Bans(tmp_path, "n0").read().keys() == {"h1", "h2"}
+
+
+def test_without_a_folder_bans_last_as_long_as_the_process():
+    bans = Bans(None, "n0")
+    bans.say(api.Ban("h1", True, 5.0))
+    assert bans.read() == {"h1": api.Ban("h1", True, 5.0)} and not bans.changed()
+
+
+def test_only_processes_that_live_count_and_leavings_go(tmp_path):
+    (tmp_path / "n0-life-left").write_text("")
+    one, two, none = Lives(tmp_path, "n0"), Lives(tmp_path, "n0"), Lives(None, "n0")
+    one.begin()
+    assert one.others() == 0 and not (tmp_path / "n0-life-left").exists()
+    two.begin()
+    assert one.others() == two.others() == 1
+    os.close(two.lock)  # as its death does
+    two.lock = -1
+    assert one.others() == 0
+    one.end()
+    none.begin()
+    assert none.others() == 0 and not list(tmp_path.iterdir())
--- /dev/null
+++ b/tests/test_net_control.py
@@ -0,0 +1,173 @@
+"""The second address: readiness, hosts out by hand, sending clients away."""
+
+import asyncio
+import time
+
+import pytest
+from netkit import SERVED, VALUE, Node, StubHost, command, entry, on_loop, read_reply, until
+
+from calicomast.net import clients, control
+
+PING = b"*1\r\n$4\r\nPING\r\n"
+
+
+@on_loop
+async def test_status_says_yes_only_where_clients_can_be_served(tmp_path):
+    async with StubHost() as host, Node(host, path=tmp_path) as node:
+        assert (await node.call("GET /status"))[0] == 200
+        await node.call("POST /standby")
+        assert await node.call("GET /status") == (503, {
+            "ready": False, "state": "standby", "hosts": ["h1"], "hosts_out": [], "requests": 0,
+            "clients": 0})
+    async with Node(path=tmp_path) as node:  # it knows no host
+        assert (await node.call("GET /status"))[0] == 503
+
+
+@pytest.mark.parametrize("call, status", [
+    ("GET /nothing", 404), ("POST /status", 405), ("HEAD /status", 405), ("GET /status?x=1", 400),
+    ("GET /maintenance/enter?host=h1", 405), ("POST /maintenance/enter", 400),
+    ("POST /maintenance/enter?host=", 400), ("POST /maintenance/enter?host=h1&host=h2", 400),
+    ("POST /maintenance/enter?host=h1&more=1", 400), ("POST /maintenance/enter?host=h9", 404),
+    ("POST /maintenance/exit?host=h9", 404), ("GET /standby", 405), ("POST /active?now", 400),
+    ("nonsense", 400),
+])
+@on_loop
+async def test_a_wrong_call_is_a_no_and_changes_nothing(call, status, tmp_path):
+    async with StubHost() as host, Node(host, path=tmp_path) as node:
+        assert (await node.call(call))[0] == status
+        assert (await node.call("GET /status"))[1]["hosts"] == ["h1"] and node.node.state == "active"
+        assert await node.ask(command()) == SERVED
+
+
+@on_loop
+async def test_callers_that_say_nothing_starve_nobody_and_are_not_kept(tmp_path, monkeypatch):
+    async with StubHost() as host, Node(host, path=tmp_path) as node:
+        idle = [await asyncio.open_connection("127.0.0.1", node.control_port)
+                for _ in range(2 * control.MOST_CALLERS)]
+        assert (await node.call("GET /status"))[0] == 200
+        assert await idle[0][0].read() == b""  # the oldest went
+        assert await node.ask(command()) == SERVED
+        monkeypatch.setattr(control, "CALL_WITHIN", 0.05)
+        reader, writer = await asyncio.open_connection("127.0.0.1", node.control_port)
+        assert await reader.read() == b""
+        for _, out in [*idle, (reader, writer)]:
+            out.close()
+
+
+@on_loop
+async def test_a_host_out_by_hand_gets_nothing_whatever_the_list_says_until_one_call_back(tmp_path):
+    async with StubHost() as one, StubHost() as two, Node(one, two, path=tmp_path) as node:
+        while not one.commands:
+            assert await node.ask(command(b"a%d" % time.monotonic_ns())) == SERVED
+        assert one.open
+        for _ in range(2):
+            assert (await node.call("POST /maintenance/enter?host=h1"))[0] == 200
+        await until(lambda: not one.open)  # connections that rest there go too
+        fresh = entry(one, "h1") | {"started_ms": int(time.time() * 1000)}
+        node.discovery.changes.put_nowait([fresh])  # it was restarted meanwhile
+        await until(lambda: node.node.discovery.version == 2)
+        before = len(one.commands)
+        for n in range(30):
+            assert await node.ask(command(b"b%d" % n)) == SERVED
+        assert len(one.commands) == before
+        assert (await node.call("POST /maintenance/exit?host=h1"))[0] == 200
+        assert (await node.call("GET /status"))[1]["hosts_out"] == []
+        n = 0
+        while len(one.commands) == before:
+            n += 1
+            assert await node.ask(command(b"c%d" % n)) == SERVED
+
+
+@on_loop
+async def test_an_attempt_whose_connection_is_still_coming_up_does_not_reach_a_banned_host(tmp_path):
+    async with StubHost() as one, StubHost() as two, Node(one, two, path=tmp_path) as node:
+        replies = [asyncio.create_task(node.ask(command(b"r%d" % n))) for n in range(8)]
+        while not node.node.hosts.pools["h1"].coming:
+            await asyncio.sleep(0)
+        node.node.hand("h1", True)
+        assert not node.node.hosts.pools.keys() & {"h1"}
+        assert await asyncio.gather(*replies) == [SERVED] * 8
+
+
+@on_loop
+async def test_a_ban_holds_over_a_restart_and_both_processes_of_an_upgrade_agree(tmp_path):
+    async with StubHost() as one, StubHost() as two, Node(one, two, path=tmp_path) as old:
+        assert (await old.call("POST /maintenance/enter?host=h1"))[0] == 200
+        async with Node(one, two, path=tmp_path) as new:
+            assert (await new.call("GET /status"))[1]["hosts_out"] == ["h1"]
+            assert new.node.module.fleet.banned
+            assert (await new.call("POST /maintenance/exit?host=h1"))[0] == 200
+            await until(lambda: not old.node.hosts.out)
+            assert not old.node.module.fleet.banned
+            assert (await old.call("POST /maintenance/enter?host=h2"))[0] == 200
+            assert (await new.call("POST /maintenance/exit?host=h2"))[0] == 200  # no look between
+            assert not new.node.hosts.out
+
+
+@on_loop
+async def test_a_drain_says_no_closes_what_rests_and_serves_what_still_comes(tmp_path):
+    async with StubHost(None) as host, Node(host, path=tmp_path) as node:
+        idle, _ = rests = await node.connect()
+        rests[1].write(PING)
+        assert await read_reply(idle) == b"+PONG\r\n"
+        busy, writer = await node.connect()
+        writer.write(command(b"busy"))
+        await host.arrived.get()
+        assert (await node.call("POST /standby"))[0] == 200
+        assert (await node.call("POST /standby"))[0] == 200
+        assert await idle.read() == b""
+        assert await node.ask(PING) == b"-ERR not ready\r\n"
+        late, late_writer = await node.connect()
+        late_writer.write(command(b"late"))
+        while (got := await host.arrived.get()) is None or got[2] != b"late":
+            pass
+        for out in host.writers:
+            out.write(VALUE)
+        assert await busy.read() == SERVED and await late.read() == SERVED
+
+
+@on_loop
+async def test_a_connection_in_use_is_not_read_for_ever_in_a_drain_and_active_takes_it_back(
+        tmp_path, monkeypatch):
+    monkeypatch.setattr(clients, "LAST_READ", 0.05)
+    async with StubHost(None) as host, Node(host, path=tmp_path) as node:
+        reader, writer = await node.connect()
+        writer.write(command(b"first"))
+        await host.arrived.get()
+        await node.call("POST /standby")
+        client = next(iter(node.node.clients.clients))
+        await until(lambda: client.last)
+        writer.write(command(b"second"))
+        assert (await node.call("POST /active"))[0] == 200
+        while (got := await host.arrived.get()) is None or got[2] != b"second":
+            pass
+        for out in host.writers:
+            out.write(VALUE)
+        assert [await read_reply(reader) for _ in range(2)] == [SERVED, SERVED]
+        writer.write(PING)
+        assert await read_reply(reader) == b"+PONG\r\n"
+
+
+@on_loop
+async def test_a_connection_without_a_command_ends_in_a_drain(tmp_path, monkeypatch):
+    monkeypatch.setattr(clients, "LAST_READ", 0.05)
+    monkeypatch.setattr(clients, "FIRST_WITHIN", 0.05)
+    async with StubHost() as host, Node(host, path=tmp_path) as node:
+        await node.call("POST /standby")
+        reader, writer = await node.connect()
+        assert await reader.read() == b""
+
+
+@on_loop
+async def test_a_close_does_not_cross_a_request_that_has_come(tmp_path):
+    async with StubHost() as host, Node(host, path=tmp_path) as node:
+        reader, writer = await node.connect()
+        writer.write(PING)
+        assert await read_reply(reader) == b"+PONG\r\n"
+        client = next(iter(node.node.clients.clients))
+        client.transport.pause_reading()
+        writer.write(command())
+        await until(client.unread)
+        node.node.drain(True)
+        client.transport.resume_reading()
+        assert await reader.read() == SERVED
--- a/tests/test_net_process.py
+++ b/tests/test_net_process.py
@@ -4,6 +4,7 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 from pathlib import Path
@@ -11,10 +12,12 @@
 import pytest
 from netkit import (
     SERVED,
+    SETTINGS,
     StubCounter,
     StubDiscovery,
     StubHost,
     command,
+    control,
     entry,
     on_loop,
     read_reply,
@@ -22,6 +25,8 @@
     told,
 )
 
+from calicomast.net.config import ConfigError, read_config, reread_config
+
 ROOT = Path(__file__).resolve().parent.parent
 PING = b"*1\r\n$4\r\nPING\r\n"
 PROGRAM = [sys.executable, "-B", "-m", "calicomast.net"]
@@ -114,3 +119,152 @@
             number += 1
         program.terminate()
         assert await program.wait() == 0
+
+
+def changed(**kw):
+    tree = json.loads(json.dumps(told([], 1, 2)))
+    for path, value in kw.items():
+        node = tree
+        *parents, leaf = [int(p) if p.isdigit() else p for p in path.split("__")]
+        for part in parents:
+            node = node[part]
+        if value is None:
+            del node[leaf]
+        else:
+            node[leaf] = value
+    return json.dumps(tree)
+
+
+@pytest.mark.parametrize("text", [
+    "", " ", "null", "[]", "{}", changed()[:-9], changed(discovery=None), changed(counter=None),
+    changed(settings=None), changed(settings__services=None), changed(settings__services__0__deadline=None),
+    changed(settings__services__0__effect=None), changed(settings__plans__0__rate=None),
+    changed(settings__limits__max_attempts=None), changed(settings__specifics__counter_timeout=None),
+    *(changed(settings__limits__max_attempts=bad) for bad in (0, -1, "3", True, [3], float("nan"))),
+    *(changed(settings__services__0__deadline=bad) for bad in (0, -1, "soon", False, {}, float("inf"))),
+    changed(settings__services=[]), changed(settings__services__0__effect="odd"), changed(counter="nowhere"),
+])
+def test_of_a_broken_file_nothing_is_taken(text, tmp_path):
+    path = tmp_path / "config.json"
+    path.write_text(changed())
+    env = {"RELAY_CONFIG": str(path)}
+    last = read_config(env)
+    path.write_text(text)
+    with pytest.raises(ConfigError):
+        reread_config(last, env)
+
+
+def test_a_whole_file_is_taken_but_for_what_is_listened_on(tmp_path):
+    path = tmp_path / "config.json"
+    path.write_text(changed())
+    last = read_config({"RELAY_CONFIG": str(path), "RELAY_NAME": "n7", "RELAY_DISCOVERY": "127.0.0.1:9"})
+    extra = SETTINGS["services"][0] | {"name": "extra", "effect": "side_effect"}
+    path.write_text(changed(discovery="127.0.0.1:7", counter="127.0.0.1:8", listen="127.0.0.1:5",
+                            settings__limits__max_attempts=1, settings__services=[extra]))
+    fresh = reread_config(last, {"RELAY_CONFIG": str(path)})
+    assert fresh.discovery[1] == 7 and fresh.counter[1] == 8 and fresh.name == "n7"
+    assert fresh.listen == last.listen and fresh.settings.limits.max_attempts == 1
+    assert list(fresh.settings.classes) == ["extra"]
+
+
+class Platform:
+    """Holds the clients' socket and starts processes that inherit it."""
+
+    def __init__(self, folder, config):
+        self.folder, self.config, self.programs = folder, config, []
+        self.sock = socket.socket()
+        self.sock.bind(("127.0.0.1", 0))
+        self.sock.listen(64)
+        self.port = self.sock.getsockname()[1]
+
+    async def start(self):
+        """A process that is ready; where its second address is."""
+        with socket.socket() as free:
+            free.bind(("127.0.0.1", 0))
+            second = free.getsockname()[1]
+        env = {**os.environ, "RELAY_CONFIG": str(self.config), "RELAY_SOCKET_FD": str(self.sock.fileno()),
+               "RELAY_CONTROL": f"127.0.0.1:{second}", "RELAY_LISTEN": f"127.0.0.1:{self.port}",
+               "TMPDIR": str(self.folder)}
+        program = await asyncio.create_subprocess_exec(*PROGRAM, cwd=ROOT, env=env, stderr=subprocess.PIPE,
+                                                       pass_fds=[self.sock.fileno()])
+        self.programs.append(program)
+        while line := await program.stderr.readline():
+            if b"listens on" in line:
+                break
+        assert (await control(second, "GET /status"))[0] == 200
+        return program, second
+
+    async def __aenter__(self):
+        return self
+
+    async def __aexit__(self, *_):
+        self.sock.close()
+        for program in self.programs:
+            if program.returncode is None:
+                program.kill()
+                await program.wait()
+
+
+@on_loop
+async def test_a_new_process_takes_over_on_the_inherited_socket(tmp_path):
+    async with StubHost(None) as host, StubCounter() as counter, StubDiscovery() as discovery:
+        discovery.servers = [entry(host)]
+        config = tmp_path / "config.json"
+        config.write_text(json.dumps(told([entry(host)], discovery.port, counter.port)))
+        (tmp_path / "n0-life-of-an-earlier-one").write_text("")
+        async with Platform(tmp_path, config) as platform:
+            old, second = await platform.start()
+            idle, idle_writer = await asyncio.open_connection("127.0.0.1", platform.port)
+            idle_writer.write(PING)
+            assert await read_reply(idle) == b"+PONG\r\n"
+            busy, busy_writer = await asyncio.open_connection("127.0.0.1", platform.port)
+            busy_writer.write(command(b"busy"))
+            await host.arrived.get()
+            assert (await control(second, "POST /maintenance/enter?host=h1"))[0] == 200
+            new, new_second = await platform.start()
+            assert (await control(new_second, "GET /status"))[1]["hosts_out"] == ["h1"]
+            old.send_signal(signal.SIGTERM)
+            assert await idle.read() == b""
+            host.writers[0].write(b"*3\r\n$5\r\nvalue\r\n$-1\r\n$-1\r\n")
+            assert await busy.read() == SERVED
+            assert await old.wait() == 0
+            reader, writer = await asyncio.open_connection("127.0.0.1", platform.port)
+            writer.write(PING)
+            assert await read_reply(reader) == b"+PONG\r\n"
+            for end in (idle_writer, busy_writer, writer):
+                end.close()
+            assert new.returncode is None
+
+
+@on_loop
+async def test_the_new_process_serves_on_when_the_old_one_dies_midway(tmp_path):
+    async with StubHost() as host, StubCounter() as counter, StubDiscovery() as discovery:
+        discovery.servers = [entry(host)]
+        config = tmp_path / "config.json"
+        config.write_text(json.dumps(told([entry(host)], discovery.port, counter.port)))
+        async with Platform(tmp_path, config) as platform:
+            old, _ = await platform.start()
+            new, _ = await platform.start()
+            old.kill()
+            await old.wait()
+            for n in range(5):
+                reader, writer = await asyncio.open_connection("127.0.0.1", platform.port)
+                writer.write(command(b"r%d" % n))
+                assert await read_reply(reader) == SERVED
+                writer.close()
+            new.send_signal(signal.SIGTERM)  # alone: it still serves what comes for a while
+            reader, writer = await asyncio.open_connection("127.0.0.1", platform.port)
+            writer.write(command(b"last"))
+            assert await read_reply(reader) == SERVED
+            writer.close()
+            assert await new.wait() == 0
+
+
+@pytest.mark.parametrize("fd", ["x", "99"])
+def test_a_descriptor_that_is_none_ends_the_start_in_one_line(fd, tmp_path):
+    (tmp_path / "config.json").write_text(changed())
+    env = {k: v for k, v in os.environ.items() if not k.startswith("RELAY_")}
+    ended = subprocess.run(PROGRAM, cwd=ROOT, env=env | {"RELAY_CONFIG": str(tmp_path / "config.json"),
+                                                         "RELAY_SOCKET_FD": fd, "TMPDIR": str(tmp_path)},
+                           capture_output=True, text=True, timeout=60)
+    assert ended.returncode == 2 and ended.stderr.count("\n") == 1
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -229,3 +229,44 @@
             w.end(s, report={"queue": 30.0, "util": 1.0}, elapsed=0.9)
         w.now += 0.05
     assert served["read"] < 0.5 * served["write"] and served["write"] < 150
+
+
+def retuned(w, **kw):
+    w.do(api.Retune(settings(plans=[BIG], **kw)))
+
+
+def test_a_request_keeps_the_class_and_the_attempts_that_it_began_with():
+    w = world([host(f"h{n}") for n in range(6)], limits=dict(max_attempts=3))
+    old = of(w.ask(cls="read")[1], api.Send)[0]
+    late = api.ServiceClass("late", 1.0, 3.0, "unsafe", "all", 5.0, 1.0, 0.0, False, 0.0)
+    retuned(w, limits=dict(max_attempts=1), classes={"late": late})
+    again = of(w.end(old, "error"), api.Send)
+    assert [s.id for s in again] == [old.id]
+    new = of(w.ask(cls="late")[1], api.Send)[0]
+    acts = w.end(new, "error")
+    assert not of(acts, api.Send) and of(acts, api.Fail)  # unsafe now, and one attempt
+    assert of(w.end(again[0], "error", attempt=1), api.Send)
+
+
+def test_a_customer_whose_plan_changed_gets_the_new_quota():
+    w = World(settings(plans=[plan(rate=0.001, burst=1.0)]), [host("h1"), host("h2")])
+    answers = [of(w.ask(cls="write", spread=1)[1], (api.Send, api.Refuse))[0] for _ in range(3)]
+    assert [type(a) for a in answers] == [api.Send, api.Refuse, api.Refuse]
+    w.end(answers[0])
+    w.do(api.Retune(settings(plans=[plan(rate=10.0, burst=40.0)])))
+    assert of(w.ask(cls="write", spread=1)[1], api.Send)
+
+
+def test_in_a_drain_no_lease_is_sought_ahead_of_need():
+    leased = {False: 0.0, True: 0.0}
+    for on in (False, True):
+        w = World(settings(plans=[plan(rate=50.0, burst=200.0)]), [host(f"h{n}") for n in range(9)])
+        w.do(api.Drain(on))
+        for _ in range(80):
+            for s in of(w.ask(spread=2)[1], api.Send):
+                w.end(s)
+            w.now += 0.02
+            leased[on] = max(leased[on], w.gw.accounts["c"].lease)
+    assert leased[False] >= 2.0 and leased[True] == 0.0
+    w.do(api.Drain(False))
+    assert not w.gw.draining
