--- a/calicomast/net/clients.py
+++ b/calicomast/net/clients.py
@@ -16,13 +16,13 @@
 
 import hiredis
 
-from calicomast.net.resp import NO_REPLY, Reader
+from calicomast.net.resp import MOST_LARGE, NO_REPLY, SMALL, Reader
 
-MOST_BODY = 64 * 1024
-MOST_COMMAND = MOST_BODY + 4096  # bytes of one command, framing included
+MOST_COMMAND = SMALL + 4096  # bytes of one command but for a large body, framing included
 BACKLOG = 1024
 MOST_PENDING = 512  # commands of one connection in work; past that it is not read
-WHOLE_WITHIN = 2.2  # s for a connection's first command, and for one that has begun, to come whole
+HEAD_WITHIN = 2.5  # s for a connection's first command, and for one that has begun, to come but for its body
+PIECE_WITHIN = 2.2  # s between two pieces of a body; between two that a client takes of an answer: ten times
 SWEEP = 0.2  # s between looks for those that took longer
 LAST_READ = 1.6  # s into a drain from which nothing more is read: at 4 s only older requests are open
 FIRST_WITHIN = 1.0  # s for the first command of a connection that comes during a drain
@@ -31,25 +31,84 @@
 class Slot:
     """The place of one command's answer among those of its connection."""
 
-    __slots__ = ("client", "answer", "token")
+    __slots__ = ("client", "answer", "token", "turn")
 
     def __init__(self, client: Client) -> None:
         self.client = client
         self.answer: bytes | None = None
+        self.turn: Callable[[], None] | None = None  # of an answer in pieces: called whenever it may go on
         self.token: Any = None  # what the handler keeps of a command that it has not answered yet
 
     def reply(self, answer: bytes) -> None:
         self.answer = answer
         self.client.flush()
 
+    def blocked(self) -> bool:
+        """Whether pieces must wait: other answers go first, or the client has not taken what was written."""
+        return self.client.pending[0] is not self or self.client.paused
+
+    def piece(self, data: bytes) -> None:
+        self.client.transport.write(data)
+
+    def cut(self) -> None:
+        """An answer that began does not end: the client can tell by the end of its connection."""
+        self.client.broken = True
+        self.client.transport.close()
+
+
+class Body:
+    """A large body that comes in pieces. Its place in the budget is taken before any of them."""
+
+    __slots__ = ("data", "size")
+
+    def __init__(self, length: int) -> None:
+        self.data, self.size = bytearray(length), 0
+
+    def add(self, piece: bytes) -> None:
+        if self.size < len(self.data):  # and not the end behind it
+            self.data[self.size:self.size + len(piece)] = piece
+            self.size += len(piece)
+
+
+class Budget:
+    """Bytes of large bodies over all clients. Who finds no room waits; the first of them gets in first."""
+
+    def __init__(self) -> None:
+        self.most = MOST_LARGE
+        self.used = 0
+        self.waiting: deque[tuple[int, Client]] = deque()
+
+    def take(self, length: int, client: Client) -> None:
+        self.waiting.append((length, client))
+        self.admit()
+
+    def give(self, length: int) -> None:
+        self.used -= length
+        self.admit()
+
+    def admit(self) -> None:
+        """One body at least always has its place, however small the budget has become."""
+        while self.waiting:
+            length, client = self.waiting[0]
+            gone = client.transport.is_closing()
+            if not gone and self.used and self.used + length > self.most:
+                return
+            self.waiting.popleft()
+            if not gone:
+                self.used += length
+                client.admitted(length)
+
 
 class Client(asyncio.Protocol):
     def __init__(self, server: ClientServer) -> None:
         self.server = server
-        self.reader = Reader(MOST_COMMAND)
+        self.reader = Reader(MOST_COMMAND, (5, 4))
+        self.body: Body | None = None  # that is coming
+        self.waits = False  # for a place for a body
+        self.moved, self.unsent = 0.0, 0  # when the client last took something; bytes it had not taken then
         self.pending: deque[Slot] = deque()
         self.partial = 0  # bytes read of a command that is not whole yet
-        self.active = monotonic()  # when the last whole command came, or else the connection
+        self.active = self.heard = monotonic()  # when the last whole command came, or else the connection
         self.awaited: float | None = self.active  # since when a command is due; None: between commands
         self.closing = self.broken = self.paused = self.flooded = False
         self.last = False  # nothing more is read until a drain is over
@@ -62,6 +121,9 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self.closing = True
         self.server.left(self)
+        body, self.body = self.body, None
+        if body:
+            self.server.budget.give(len(body.data))
         pending, self.pending = self.pending, deque()
         for slot in pending:
             if slot.answer is None:
@@ -71,31 +133,65 @@
         if self.broken:
             return
         self.reader.feed(data)
-        self.partial += len(data)
+        self.heard = monotonic()
+        self.partial = 0 if self.body else self.partial + len(data)
         if self.awaited is None:
-            self.awaited = monotonic()
+            self.awaited = self.heard
+        self.commands()
+
+    def commands(self) -> None:
+        """Takes all that came whole."""
         try:
             while (command := self.reader.gets()) is not NO_REPLY:
                 self.partial, self.active = 0, monotonic()
                 self.awaited = self.active if self.reader.has_data() else None
+                body, self.body = self.body, None
+                if body and isinstance(command, list):
+                    command[-1] = body.data
                 slot = Slot(self)
                 self.pending.append(slot)
                 self.server.handler.command(slot, command)
+                if body and slot.token is None:  # it was not taken
+                    self.server.budget.give(len(body.data))
         except hiredis.ProtocolError:
             self.fail(b"-ERR protocol error\r\n")
         else:
-            if self.partial > MOST_COMMAND:  # a command without end must not fill the memory
+            if self.reader.begun and not self.waits:
+                self.waits = True
+                self.server.budget.take(self.reader.begun, self)
+            elif self.partial > MOST_COMMAND and not self.waits:  # one without end must not fill the memory
                 self.fail(b"-ERR command too long\r\n")
         self.throttle()
 
+    def admitted(self, length: int) -> None:
+        """There is a place for the body that has begun."""
+        self.waits, self.partial, self.heard = False, 0, monotonic()
+        self.body = Body(length)
+        self.reader.pass_on(self.body.add)
+        self.commands()
+
     def check(self, now: float) -> None:
         if self.server.drained_at is not None:
             self.check_drain(now, self.server.drained_at)
+        self.check_taken(now)
         if self.broken or self.flooded or self.awaited is None:
             return
-        if now - self.awaited > WHOLE_WITHIN:
+        if self.reader.in_last():
+            late = now - self.heard > PIECE_WITHIN
+        else:
+            late = now - self.awaited > HEAD_WITHIN
+        if late:
             self.fail(b"-ERR no whole command in time\r\n")
 
+    def check_taken(self, now: float) -> None:
+        """A client that takes nothing more of an answer is not kept, nor is the host's connection."""
+        unsent = self.transport.get_write_buffer_size() if self.paused else 0
+        if not self.paused or unsent != self.unsent:
+            self.moved, self.unsent = now, unsent
+        elif now - self.moved > 10 * PIECE_WITHIN and not self.transport.is_closing():
+            self.broken = True
+            self.transport.abort()
+
     def check_drain(self, now: float, since: float) -> None:
         """What has rested so long that no request crosses its end goes, and what came whole is the last."""
         if now - since > LAST_READ and (self.pending or now - self.active > FIRST_WITHIN):
@@ -139,7 +235,10 @@
         pending = self.pending
         while pending and (answer := pending[0].answer) is not None:
             pending.popleft()
-            self.transport.write(answer)
+            if answer:
+                self.transport.write(answer)
+        if pending and (turn := pending[0].turn) is not None and not self.paused:
+            turn()
         if not pending and (self.closing or self.drained()):
             self.end()
         elif self.flooded:
@@ -152,10 +251,11 @@
     def resume_writing(self) -> None:
         self.paused = False
         self.throttle()
+        self.flush()
 
     def throttle(self) -> None:
         """A client that takes no answers or has too much in work is not read until that is over."""
-        flooded = self.paused or self.last or len(self.pending) >= MOST_PENDING
+        flooded = self.paused or self.last or self.waits or len(self.pending) >= MOST_PENDING
         if flooded != self.flooded and not self.transport.is_closing():
             self.flooded = flooded
             self.transport.pause_reading() if flooded else self.transport.resume_reading()
@@ -171,6 +271,7 @@
         self.on_empty: Callable[[], None] | None = None
         self.sweeping: asyncio.TimerHandle | None = None
         self.drained_at: float | None = None  # since when clients are sent away
+        self.budget = Budget()
 
     async def listen(self, host: str, port: int, inherited: int | None = None) -> int:
         """On a duplicate of a descriptor that is inherited: closing it leaves the socket to its owner."""
--- a/calicomast/net/config.py
+++ b/calicomast/net/config.py
@@ -31,6 +31,7 @@
     counter: Address | None
     seed: int
     sockets: int  # file descriptors that the process may hold
+    memory: float  # bytes that the processes of this gateway may take
     known: Listing  # the hosts as this gateway last had them; it may be old
     settings: api.Settings
     connect_timeout: float
@@ -121,6 +122,7 @@
         discovery=read_address(env.get("RELAY_DISCOVERY") or told["discovery"]),
         counter=read_address(counter) if counter else None,
         seed=int(told["seed"], 16), sockets=int(told["limits"]["sockets"]),
+        memory=float(told["limits"]["memory_mb"]) * 2 ** 20,
         known=read_list(told["known"], "cached"), settings=settings,
         connect_timeout=seconds(limits["connect_timeout"]), idle_close=seconds(limits["idle_close"]),
         max_open=int(limits["max_open"]), tree=told)
--- a/calicomast/net/gateway.py
+++ b/calicomast/net/gateway.py
@@ -15,7 +15,7 @@
 
 from calicomast import interface as api
 from calicomast.net.bans import Bans
-from calicomast.net.clients import MOST_BODY, ClientServer, Slot
+from calicomast.net.clients import ClientServer, Slot
 from calicomast.net.config import Config, ConfigError, reread_config
 from calicomast.net.control import Control, UnknownHost
 from calicomast.net.counter import Counter
@@ -23,13 +23,16 @@
 from calicomast.net.hosts import Attempt, Hosts
 from calicomast.net.listing import Listing
 from calicomast.net.lives import Lives
+from calicomast.net.resp import MOST_LARGE
 from calicomast.policy import Gateway
 
 WAY_BACK = 0.03  # s before the client gives up by which the module is to be done
 GUARD = 0.01  # s before that by which a request without an answer is failed, whatever the module does
 MOST_LEFT = 3600.0  # s; a client that says it will wait for longer is in error
 MOST_CUSTOMER = 2 ** 33  # customers are numbers below it
-MOST_HELD = 48 * 1024 * 1024  # bytes of bodies in work past which requests are refused: memory is bounded
+MOST_HELD = 16 * 1024 * 1024  # bytes of small bodies in work past which requests are refused
+PROCESS = 32 * 1024 * 1024  # bytes that a process takes by itself
+BODIES = 0.5  # part of the rest for large bodies: connections and pieces of values take some, too
 SPARE_SOCKETS = 64  # descriptors that are neither clients' nor hosts' connections
 LINGER = 0.5  # s after SIGTERM in which connections still come
 KILLED_AT = 3.0  # s after SIGTERM at which SIGKILL may come, where no deadline is shorter
@@ -57,7 +60,7 @@
 class Work:
     """A request that was taken: where its answer goes, what goes to hosts, and what is out for it."""
 
-    __slots__ = ("id", "slot", "command", "deadline", "limits", "guard", "sends", "live", "over")
+    __slots__ = ("id", "slot", "command", "deadline", "limits", "guard", "sends", "live", "over", "stream")
 
     def __init__(self, id: str, slot: Slot, command: list[bytes], deadline: float,
                  limits: api.Limits) -> None:
@@ -67,15 +70,23 @@
         self.sends = 0
         self.live: dict[int, Attempt] = {}
         self.over = False
+        self.stream: Attempt | None = None  # whose value goes to the client in pieces
 
+    @property
+    def body(self) -> bytearray | None:
+        """A large one, which has a place in the budget."""
+        return self.command[-1] if type(self.command[-1]) is bytearray else None
 
     def payload(self, left: float) -> bytes:
-        """The command as the client sent it, but for `d`: how long this attempt is waited for."""
+        """The command as the client sent it, but for `d`: how long this attempt is waited for. A large body
+        follows by itself, so that no copy of it is made."""
         terms = self.command[3]
         start = (b"," + terms).index(b",d=") + 2
         end = terms.find(b",", start)
         told = b"%s%d%s" % (terms[:start], max(1, int(left * 1000)), terms[end:] if end >= 0 else b"")
         parts = [*self.command[:3], told, *self.command[4:]]
+        if self.body is not None:
+            return b"*5\r\n%s$%d\r\n" % (b"".join([bulk(part) for part in parts[:4]]), len(parts[4]))
         return b"*%d\r\n%s" % (len(parts), b"".join([bulk(part) for part in parts]))
 
 
@@ -144,6 +155,8 @@
         sockets = self.config.sockets
         room = max(sockets - SPARE_SOCKETS, sockets // 2) // processes
         self.clients.most = self.hosts.most = room // 2
+        spare = self.config.memory / processes - PROCESS
+        self.clients.budget.most = max(MOST_LARGE, int(spare * BODIES))
 
     # Events
 
@@ -212,7 +225,7 @@
             slot.reply(FAILED)
 
     def take(self, slot: Slot, command: object) -> None:
-        if not isinstance(command, list) or {type(part) for part in command} - {bytes}:
+        if not isinstance(command, list) or {type(part) for part in command} - {bytes, bytearray}:
             raise BadRequest("not an array of bulk strings")
         verb = command[0] if command else b""
         write = verb == b"API.WRITE"
@@ -220,8 +233,6 @@
             raise BadRequest("unknown command")
         if len(command) != 4 + write:
             raise BadRequest("wrong number of arguments")
-        if write and len(command[4]) > MOST_BODY:
-            raise BadRequest("body too long")
         request = self.read_request(command, write)
         if request.id in self.works:
             raise BadRequest("this id is in work")
@@ -232,7 +243,8 @@
         work = Work(request.id, slot, command, now + request.left, self.settings.limits)
         slot.token = work
         self.works[request.id] = work
-        self.held += len(command[-1])
+        if work.body is None:
+            self.held += len(command[-1])
         work.guard = self.loop.call_later(max(0.0, request.left + WAY_BACK - GUARD), self.overdue, work)
         self.feed(request)
 
@@ -266,6 +278,8 @@
         if work is not None and not work.over:
             self.finish(work, b"")
             self.feed(api.Gone(work.id))
+            if work.stream is not None:
+                self.hosts.give_up(work.stream, "cancelled")
 
     def overdue(self, work: Work) -> None:
         """Guards the client's deadline against a module that says nothing."""
@@ -280,8 +294,10 @@
         work.over = True
         if work.guard is not None:
             work.guard.cancel()
-        if answer:
-            work.slot.reply(answer)
+        if work.stream is not None and not work.stream.whole:
+            work.slot.cut()
+        elif answer:
+            work.slot.reply(answer if work.stream is None else b"")
         for attempt in list(work.live.values()):
             if not attempt.written:  # after the final answer nothing more is sent
                 self.hosts.give_up(attempt, "cancelled")
@@ -289,7 +305,10 @@
 
     def forget(self, work: Work) -> None:
         if work.over and not work.live and self.works.pop(work.id, None):
-            self.held -= len(work.command[-1])
+            if work.body is not None:
+                self.clients.budget.give(len(work.body))
+            else:
+                self.held -= len(work.command[-1])
 
     # Actions
 
@@ -313,17 +332,39 @@
             self.feed(api.Outcome(work.id, number, action.host, "moot", 0.0, False))
             return
         wait = min(left, action.timeout) if action.timeout > 0 else left
-        attempt = Attempt(action.host, work.payload(wait), self.attempt_done, (work, number))
+        attempt = Attempt(action.host, work.payload(wait), self.attempt_done, (work, number), work.body,
+                          self.value_begins)
         work.live[number] = attempt
         self.hosts.send(attempt, wait)
 
+    def value_begins(self, attempt: Attempt, length: int) -> bool:
+        """The first bytes of a large value: from here on the request is this attempt's, and its time does not
+        count any longer."""
+        work, number = attempt.tag
+        if work.over or work.stream is not None:
+            return False
+        work.stream, slot = attempt, work.slot
+        if work.guard is not None:
+            work.guard.cancel()
+        attempt.blocked, slot.turn = slot.blocked, attempt.conn.go_on
+        head = b"$%d\r\n" % length
+
+        def sink(data: bytes) -> None:
+            nonlocal head
+            slot.piece(head + data)
+            head = b""
+
+        attempt.sink = sink
+        self.feed(api.Began(work.id, number, attempt.host, attempt.elapsed()))
+        return attempt.result == ""
+
     def attempt_done(self, attempt: Attempt) -> None:
         work, number = attempt.tag
         result, over = attempt.result, work.over
         del work.live[number]
         if over and result == "connect_failed":
             result = "moot"  # called off before it was sent, which says nothing of the host
-        elif result == "ok" and not over:
+        elif not over and (work.stream is attempt or (result == "ok" and work.stream is None)):
             self.finish(work, bulk(attempt.value))
         self.forget(work)
         self.feed(api.Outcome(work.id, number, attempt.host, result, attempt.elapsed(), work.over,
--- a/calicomast/net/hosts.py
+++ b/calicomast/net/hosts.py
@@ -17,11 +17,12 @@
 import hiredis
 
 from calicomast.net.listing import Address
-from calicomast.net.resp import NO_REPLY, Reader
+from calicomast.net.resp import END, NO_REPLY, SMALL, Reader
 from calicomast.settings import read_report
 
-MOST_VALUE = 64 * 1024  # bytes that a value holds by the protocol
-MOST_REPLY = 128 * 1024  # bytes of one answer
+MOST_REPLY = SMALL + 4096  # bytes of one answer but for a large value
+RECEIVE = 64 * 1024  # bytes that a connection's socket holds unread, so that what is read at once is bounded
+STILL = 20.0  # s without a byte after which a value that has begun is given up
 IDLE_MARGIN = 0.1  # part of the hosts' idle time by which a connection is closed before them
 IDLE_CHECK = 0.5  # s between looks for idle connections
 PROBE = object()  # the tag of an attempt that is a probe
@@ -30,13 +31,20 @@
 
 
 class Attempt:
-    """One command for one host. `done` gets it once, when `result` (of interface.RESULTS) is known."""
+    """One command for one host, with `body` as its last part where it is large. `done` gets it once, when
+    `result` (of interface.RESULTS) is known. `begins` hears of a large value: is it wanted?"""
 
-    __slots__ = ("host", "payload", "done", "tag", "started", "result", "value", "used", "report", "conn",
-                 "timer")
+    __slots__ = ("host", "payload", "body", "done", "tag", "started", "result", "value", "used", "report",
+                 "conn", "timer", "begins", "began", "sink", "blocked", "whole")
 
-    def __init__(self, host: str, payload: bytes, done: Callable[[Attempt], None], tag: Any = None) -> None:
+    def __init__(self, host: str, payload: bytes, done: Callable[[Attempt], None], tag: Any = None,
+                 body: bytearray | None = None, begins: Callable[[Attempt, int], bool] | None = None) -> None:
         self.host, self.payload, self.done, self.tag, self.started = host, payload, done, tag, monotonic()
+        self.body, self.begins = body, begins
+        self.began = 0.0  # how long after its start a value in pieces did
+        self.sink: Callable[[bytes], None] | None = None  # where its pieces go
+        self.blocked: Callable[[], bool] | None = None  # whether they must wait
+        self.whole = False  # all of them have gone there
         self.result = ""
         self.value = b""
         self.used = 0
@@ -45,7 +53,13 @@
         self.timer: asyncio.TimerHandle | None = None
 
     def elapsed(self) -> float:
-        return monotonic() - self.started
+        """Until the answer, or its first bytes where it comes in pieces: the rest is the client's pace."""
+        return self.began or monotonic() - self.started
+
+    def piece(self, data: bytes) -> None:
+        assert self.sink is not None
+        self.sink(data)
+        self.whole = data == END
 
     def end(self, result: str) -> None:
         if self.result:
@@ -77,7 +91,9 @@
 class Connection(asyncio.Protocol):
     def __init__(self, pool: Pool, sock: socket.socket) -> None:
         self.pool, self.sock = pool, sock
-        self.reader = Reader(MOST_REPLY)
+        self.reader = Reader(MOST_REPLY, (3, 0))
+        self.heard = 0.0  # when the last bytes came, or reading was resumed
+        self.paused = False  # reading
         self.attempt: Attempt | None = None
         self.written, self.received, self.idle_since = True, 0, 0.0
         self.transport: asyncio.Transport | None = None
@@ -97,6 +113,9 @@
         assert self.transport is not None
         self.attempt, attempt.conn, self.received = attempt, self, 0
         self.transport.write(attempt.payload)
+        if attempt.body is not None:
+            self.transport.write(memoryview(attempt.body))
+            self.transport.write(END)
         if self.transport.is_closing():  # the write failed at once, so the socket took nothing
             self.written = False
 
@@ -105,18 +124,28 @@
         if attempt is None:  # an answer that nobody waits for
             self.close()
             return
+        self.heard = monotonic()
         self.reader.feed(data)
-        self.received += len(data)
+        if attempt.sink is None:
+            self.received += len(data)
+        self.read(attempt)
+
+    def read(self, attempt: Attempt) -> None:
         try:
             reply = self.reader.gets()
         except hiredis.ProtocolError:
             self.close()
             return
         if reply is NO_REPLY:
-            if self.received > MOST_REPLY:
+            if self.reader.begun and attempt.sink is None:
+                self.begin(attempt)
+            elif self.received > MOST_REPLY and attempt.sink is None:
                 self.close()
+            elif attempt.blocked is not None and attempt.blocked():
+                self.pause(True)
             return
         self.attempt = None
+        self.pause(False)
         result = read_reply(attempt, reply)
         if self.reader.has_data():
             self.close()
@@ -124,6 +153,40 @@
             self.pool.rest(self)
         attempt.end(result)
 
+    def begin(self, attempt: Attempt) -> None:
+        """A large value begins: it is passed on as it comes, and no longer timed."""
+        if attempt.timer is not None:
+            attempt.timer.cancel()
+        attempt.began = monotonic() - attempt.started
+        if attempt.begins is None or not attempt.begins(attempt, self.reader.begun):
+            if attempt is self.attempt:
+                self.pool.hosts.give_up(attempt, "cancelled" if attempt.begins else "error")
+            return
+        self.go_on()
+
+    def go_on(self) -> None:
+        """Reads on where pieces need not wait any longer."""
+        attempt = self.attempt
+        if attempt is None or attempt.blocked is None:
+            return
+        if attempt.blocked():
+            self.pause(True)
+            return
+        self.pause(False)
+        if self.reader.begun:
+            self.reader.pass_on(attempt.piece)
+            self.read(attempt)
+
+    def pause(self, on: bool) -> None:
+        if on != self.paused and self.transport is not None and not self.transport.is_closing():
+            self.paused, self.heard = on, monotonic()
+            self.transport.pause_reading() if on else self.transport.resume_reading()
+
+    def check(self, now: float) -> None:
+        """A host that stops in the middle of a value is not waited for without end."""
+        if self.attempt is not None and self.attempt.sink and not self.paused and now - self.heard > STILL:
+            self.close()
+
     def connection_lost(self, exc: Exception | None) -> None:
         self.close()
 
@@ -135,14 +198,16 @@
             with contextlib.suppress(OSError):
                 self.sock.shutdown(socket.SHUT_RDWR)
             self.transport.abort()
-        if attempt is not None:
+        if attempt is not None and attempt.whole:  # what was to follow is not missed
+            attempt.end("ok")
+        elif attempt is not None:
             attempt.end("reset" if self.written else "connect_failed")
 
 
 def read_reply(attempt: Attempt, reply: object) -> str:
     """Fills in what the answer says and tells the outcome."""
     if isinstance(reply, list):
-        if not reply or not isinstance(reply[0], bytes) or len(reply[0]) > MOST_VALUE:
+        if not reply or not isinstance(reply[0], bytes) or len(reply[0]) > SMALL:
             return "error"
         attempt.value = reply[0]
         if len(reply) > 1 and isinstance(reply[1], int):
@@ -188,6 +253,7 @@
             sock = socket.socket(family, socket.SOCK_STREAM)
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE)
             async with asyncio.timeout(self.hosts.connect_timeout):
                 await loop.sock_connect(sock, self.address)
                 _, conn = await loop.create_connection(lambda: Connection(self, sock), sock=sock)
@@ -295,6 +361,8 @@
             return
         if not conn.written:
             result = "connect_failed"
+        elif attempt.whole:
+            result = "ok"
         conn.attempt = None
         conn.close()
         attempt.end(result)
@@ -328,6 +396,9 @@
 
     def start_checks(self) -> None:
         self.close_stale()
+        now = monotonic()
+        for conn in list(self.conns):
+            conn.check(now)
         self.check = asyncio.get_running_loop().call_later(IDLE_CHECK, self.start_checks)
 
     def close(self) -> None:
--- a/calicomast/net/resp.py
+++ b/calicomast/net/resp.py
@@ -6,34 +6,55 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
 import hiredis
 
 MOST_PARTS = 64  # of one array: commands have 5 and answers 3
 MOST_LINE = 4096  # bytes of a head, a number, a simple string or an error
+SMALL = 64 * 1024  # bytes of a string above which it is passed on in pieces
+MOST_LARGE = 4 * 1024 * 1024  # bytes that a value holds by the protocol
 NO_REPLY: Any = object()  # hiredis: more bytes are needed (None and False are values)
 POISON = b"?"  # no value begins so: hiredis raises where it stands, behind what came whole before it
+PLACE = b"$0\r\n\r\n"  # stands for a large string in what hiredis gives
+END = b"\r\n"
 
 
 class Reader:
     """gets() gives what came whole, then raises hiredis.ProtocolError where the stream is no RESP2 or
-    announces an array or a string (above `most` bytes) that nobody here sends."""
+    announces an array or a string (above `most` bytes) that nobody here sends.
 
-    def __init__(self, most: int) -> None:
-        self.most, self.reader = most, hiredis.Reader(notEnoughData=NO_REPLY)
+    Part `large[1]` of an array of `large[0]` parts may hold up to MOST_LARGE bytes. Once such a one is
+    announced, `begun` is its length and nothing more is read until pass_on() says where its pieces go."""
+
+    def __init__(self, most: int, large: tuple[int, int] = (0, -1)) -> None:
+        self.most, self.large, self.reader = most, large, hiredis.Reader(notEnoughData=NO_REPLY)
         self.gets = self.reader.gets
         self.line, self.skip = b"", 0  # a line that is not whole yet; bytes to come of a bulk string
+        self.parts = self.part = 0  # of the array that is read: how many, and how many were announced
+        self.begun, self.left = 0, 0  # length of a large string that waits; bytes to come of one that is read
+        self.held, self.end = b"", b""  # what stands behind the head of one that waits; the last two bytes
+        self.sink: Callable[[bytes], None] | None = None
 
     def feed(self, data: bytes) -> None:
+        if self.begun:
+            self.held += data
+            return
+        if self.left:
+            data = self.piece(data)
         if self.line:
             data = self.line + data
         at, size = self.skip, len(data)
-        while at < size and (end := data.find(b"\r\n", at)) >= 0:
+        while at < size and (end := data.find(END, at)) >= 0:
             length = self.follows(data[at:end])
             if length is None:
                 self.reader.feed(data[:at] + POISON)
                 return
+            if length > SMALL + 2:
+                self.reader.feed(data[:at])
+                self.begun, self.held, self.line, self.skip = length - 2, data[end + 2:], b"", 0
+                return
             at = end + 2 + length
         self.skip, self.line = max(0, at - size), data[at:]
         if len(self.line) > MOST_LINE:
@@ -50,9 +71,46 @@
             except ValueError:
                 return None
             if kind == b"*":
+                # None here nests; one that does all the same holds nothing large.
+                self.parts, self.part = count if self.part >= self.parts else -1, 0
                 return 0 if count <= MOST_PARTS else None
-            return None if count > self.most else count + 2 if count >= 0 else 0
+            self.part += 1
+            most = MOST_LARGE if (self.parts, self.part - 1) == self.large else self.most
+            return None if count > most else count + 2 if count >= 0 else 0
+        self.part += 1
         return 0 if kind in (b"+", b"-", b":") else None
 
+    def pass_on(self, sink: Callable[[bytes], None]) -> None:
+        """The large string that has begun goes to `sink` as it comes, its END last."""
+        self.sink, self.left, self.begun, self.end = sink, self.begun + 2, 0, b""
+        data, self.held = self.held, b""
+        self.feed(data)
+
+    def piece(self, data: bytes) -> bytes:
+        """Passes on what belongs to the large string; what stands behind it."""
+        assert self.sink is not None
+        taken = data[:self.left] if len(data) > self.left else data
+        self.left -= len(taken)
+        if self.left >= 2:
+            self.sink(taken)
+            return b""
+        value = len(taken) - (2 - self.left) + len(self.end)  # bytes of the string itself in this piece
+        self.end += taken[value:] if value > 0 else taken
+        if value > 0:
+            self.sink(taken[:value])
+        if self.left:
+            return b""
+        if self.end != END:
+            self.reader.feed(POISON)
+            return b""
+        self.sink(END)
+        self.reader.feed(PLACE)
+        return data[len(taken):]
+
+    def in_last(self) -> bool:
+        """Whether the last part of an array that may hold a large one has been announced and is not whole."""
+        return (self.parts, self.part) == (self.large[0], self.large[1] + 1) and (
+            self.skip > 0 or self.left > 0 or self.begun > 0)
+
     def has_data(self) -> bool:
-        return bool(self.line) or self.reader.has_data()
+        return bool(self.line) or self.begun > 0 or self.left > 0 or self.reader.has_data()
--- a/calicomast/policy.py
+++ b/calicomast/policy.py
@@ -412,7 +412,7 @@
                 elif event.mode == "cached" and self.set.discovery == "ask":
                     self.out.append(api.Watch(True))
             case api.Began() if event.id in self.jobs:
-                self.jobs[event.id].streaming = True
+                self.began(self.jobs[event.id], event)
             case api.Ban():
                 self.fleet.ban(now, event)
             case api.Drain():
@@ -761,6 +761,13 @@
         else:
             self.budget -= cost
 
+    def began(self, job: Job, event: api.Began) -> None:
+        """The answer flows: its host's work is done, so it holds no place there at its client's pace."""
+        job.streaming = True
+        self.fleet.out -= self.fleet.servers[event.host].out.pop((event.id, event.attempt), None) is not None
+        if job.limits.cancel:
+            self.out += [api.Cancel(event.id, number) for number in job.live if number != event.attempt]
+
     def look(self, at: float, job: Job) -> None:
         heapq.heappush(self.due, (min(at, job.deadline - 2 * TICK), job.req.id))
 
--- /dev/null
+++ b/tests/test_net_large.py
@@ -0,0 +1,207 @@
+"""Values and bodies above 64 KiB: in pieces, bounded, and never twice."""
+
+import asyncio
+import random
+
+import pytest
+from netkit import SERVED, Node, StubHost, command, on_loop, read_reply, terms, until
+
+from calicomast.net import clients
+from calicomast.net.clients import Budget
+from calicomast.net.resp import MOST_LARGE, NO_REPLY, SMALL, Reader
+
+BIG = bytes(range(256)) * 4096  # 1 MiB
+WRITE = terms(c="write", k="77")
+
+
+def value(data):
+    return b"*3\r\n$%d\r\n%s\r\n$-1\r\n$-1\r\n" % (len(data), data)
+
+
+def upload(id=b"w1", body=BIG):
+    return command(id, WRITE, b"API.WRITE", body=body)
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_a_large_string_comes_whole_however_it_is_cut(seed):
+    luck = random.Random(seed)
+    body = bytes(luck.choice(b"ab\r\n$") for _ in range(SMALL + 1 + luck.randrange(3)))
+    ping = b"*1\r\n$4\r\nPING\r\n"
+    text = ping + b"*2\r\n$1\r\na\r\n$%d\r\n%s\r\n" % (len(body), body) + ping
+    reader, got, pieces, at = Reader(SMALL, (2, 1)), [], [], 0
+    while at < len(text) or reader.begun:
+        size = luck.choice([1, 2, 3, 50, 40000])
+        reader.feed(text[at:at + size])
+        at += size
+        if reader.begun and luck.random() < 0.6:
+            reader.pass_on(pieces.append)
+        while (one := reader.gets()) is not NO_REPLY:
+            got.append(one)
+    assert b"".join(pieces) == body + b"\r\n" and got == [[b"PING"], [b"a", b""], [b"PING"]]
+
+
+@pytest.mark.parametrize("text", [
+    b"*4\r\n$8\r\nAPI.READ\r\n$70000\r\n", b"*5\r\n$70000\r\n", b"$70000\r\n",
+    b"*5\r\n$1\r\na\r\n$1\r\na\r\n$1\r\na\r\n$1\r\na\r\n$%d\r\n" % (MOST_LARGE + 1)])
+@on_loop
+async def test_only_a_body_may_be_large_and_none_is_larger_than_the_protocol_allows(text, tmp_path):
+    async with StubHost() as host, Node(host, path=tmp_path) as node:
+        reader, writer = await node.connect()
+        writer.write(text)
+        assert await reader.read() == b"-ERR protocol error\r\n"
+
+
+@on_loop
+async def test_the_first_bytes_of_a_large_value_are_forwarded_as_they_come(tmp_path):
+    async with StubHost(None) as host, Node(host, path=tmp_path) as node:
+        reader, writer = await node.connect()
+        writer.write(command(terms=terms(d="400")))
+        await host.arrived.get()
+        text, out = value(BIG), host.writers[0]
+        out.write(text[:100])
+        head = b"$%d\r\n" % len(BIG)
+        assert await reader.readexactly(len(head) + 50) == head + BIG[:50]
+        await asyncio.sleep(0.5)  # past its time, which counts to the first bytes
+        for at in range(100, len(text), 9999):
+            out.write(text[at:at + 9999])
+            await out.drain()
+        rest = await reader.readexactly(len(BIG) - 50 + 2)
+        assert rest == BIG[50:] + b"\r\n" and len(host.commands) == 1
+        host.answer = value(b"value")
+        writer.write(command(b"r2"))
+        assert await read_reply(reader) == SERVED and not node.node.works
+
+
+@on_loop
+async def test_a_client_that_reads_slowly_holds_up_the_host_and_not_the_memory(tmp_path):
+    async with StubHost(None) as host, Node(host, path=tmp_path) as node:
+        reader, writer = await node.connect()
+        writer.transport.pause_reading()
+        writer.write(command())
+        await host.arrived.get()
+        big = BIG * 4
+        host.writers[0].write(value(big))
+        await until(lambda: any(c.paused for c in node.node.hosts.conns))
+        client = next(iter(node.node.clients.clients))
+        assert client.transport.get_write_buffer_size() < 1 << 20
+        assert await node.ask(b"*1\r\n$4\r\nPING\r\n") == b"+PONG\r\n"
+        writer.transport.resume_reading()
+        assert await read_reply(reader) == b"$%d\r\n%s\r\n" % (len(big), big)
+
+
+@on_loop
+async def test_a_value_that_breaks_off_ends_the_connection_and_is_not_sent_again(tmp_path):
+    async with StubHost(None) as one, StubHost(None) as two, Node(one, two, path=tmp_path) as node:
+        reader, writer = await node.connect()
+        writer.write(command())
+        await until(lambda: one.commands or two.commands)
+        out = (one.writers or two.writers)[0]
+        out.write(value(BIG)[:200000])
+        await reader.readexactly(1000)
+        out.close()
+        assert len(await reader.read()) < len(BIG)
+        assert len(one.commands) + len(two.commands) == 1 and not node.node.works
+        assert not node.node.module.jobs
+
+
+@on_loop
+async def test_a_large_value_waits_for_the_answers_before_it(tmp_path):
+    async with StubHost(None) as host, Node(host, path=tmp_path) as node:
+        reader, writer = await node.connect()
+        writer.write(command(b"r1") + command(b"r2"))
+        await until(lambda: len(host.commands) == 2)
+        later = next(n for n, got in enumerate(host.commands) if got[2] == b"r2")
+        host.writers[later].write(value(BIG))
+        await until(lambda: any(work.stream for work in node.node.works.values()))
+        host.writers[1 - later].write(value(b"value"))
+        assert await read_reply(reader) == SERVED
+        assert await read_reply(reader) == b"$%d\r\n%s\r\n" % (len(BIG), BIG)
+
+
+@on_loop
+async def test_a_client_that_leaves_midway_ends_the_attempt(tmp_path):
+    async with StubHost(None) as host, Node(host, path=tmp_path) as node:
+        reader, writer = await node.connect()
+        writer.write(command())
+        await host.arrived.get()
+        host.writers[0].write(value(BIG)[:200000])
+        await reader.readexactly(1000)
+        writer.close()
+        await until(lambda: not host.open and not node.node.works)
+
+
+@on_loop
+async def test_a_large_body_that_comes_slowly_is_sent_whole_and_again_after_a_failure(tmp_path, monkeypatch):
+    monkeypatch.setattr(clients, "HEAD_WITHIN", 0.3)
+    answers = [b"-BUSY\r\n", value(b"value")]
+    async with StubHost(lambda: answers.pop(0)) as one, StubHost(lambda: answers.pop(0)) as two, \
+            Node(one, two, path=tmp_path) as node:
+        reader, writer = await node.connect()
+        text = upload()
+        for part in (text[:90], text[90:130], text[130:200], text[200:500000], text[500000:]):
+            writer.write(part)
+            await asyncio.sleep(0.2)
+        assert await read_reply(reader) == SERVED
+        sent = one.commands + two.commands
+        assert len(sent) == 2 and all(got[4] == BIG for got in sent)
+        assert node.node.clients.budget.used == 0
+
+
+@on_loop
+async def test_a_body_that_stops_ends_its_connection_and_gives_its_place_back(tmp_path, monkeypatch):
+    monkeypatch.setattr(clients, "PIECE_WITHIN", 0.3)
+    async with StubHost() as host, Node(host, path=tmp_path) as node:
+        reader, writer = await node.connect()
+        writer.write(upload()[:5000])
+        assert await reader.read() == b"-ERR no whole command in time\r\n"
+        await until(lambda: node.node.clients.budget.used == 0)
+        assert not host.commands
+
+
+@on_loop
+async def test_a_body_without_room_waits_unread_until_there_is_some(tmp_path):
+    async with StubHost() as host, Node(host, path=tmp_path) as node:
+        node.node.looking.cancel()
+        budget = node.node.clients.budget
+        budget.most = len(BIG)
+        first, first_writer = await node.connect()
+        first_writer.write(upload(b"w1")[:70000])
+        await until(lambda: budget.used)
+        second, second_writer = await node.connect()
+        second_writer.write(upload(b"w2"))
+        await until(lambda: budget.waiting)
+        assert not host.commands
+        first_writer.write(upload(b"w1")[70000:])
+        assert await read_reply(first) == SERVED and await read_reply(second) == SERVED
+        assert [got[2] for got in host.commands] == [b"w1", b"w2"] and budget.used == 0
+
+
+@on_loop
+async def test_a_large_body_that_is_not_taken_gives_its_place_back(tmp_path):
+    async with StubHost() as host, Node(host, path=tmp_path) as node:
+        bad = command(b"w1", terms(c="nothing"), b"API.WRITE", body=BIG)
+        assert (await node.ask(bad)).startswith(b"-ERR")
+        assert node.node.clients.budget.used == 0 and not host.commands
+        assert await node.ask(upload()) == SERVED
+        assert node.node.clients.budget.used == 0
+
+
+def test_the_first_that_waits_gets_in_first_and_one_always_does():
+    class Stub:
+        def __init__(self):
+            self.transport, self.got = self, 0
+
+        def is_closing(self):
+            return self.got < 0
+
+        def admitted(self, length):
+            self.got = length
+
+    budget, (one, two, three, four) = Budget(), [Stub() for _ in range(4)]
+    budget.most = 10
+    for stub, length in ((one, 20), (two, 6), (three, 5), (four, 3)):
+        budget.take(length, stub)
+    assert [s.got for s in (one, two, three, four)] == [20, 0, 0, 0]
+    three.got = -1  # it left
+    budget.give(20)
+    assert [s.got for s in (two, three, four)] == [6, -1, 3] and budget.used == 9
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -270,3 +270,17 @@
     assert leased[False] >= 2.0 and leased[True] == 0.0
     w.do(api.Drain(False))
     assert not w.gw.draining
+
+
+def test_an_answer_that_flows_is_the_only_one_and_holds_no_place_at_its_host():
+    w = world()
+    first = of(w.ask(cls="read")[1], api.Send)[0]
+    copy = of(w.wait(2.0), api.Send)
+    assert [s.id for s in copy] == [first.id] and copy[0].host != first.host
+    acts = w.do(api.Began(first.id, 1, copy[0].host, 2.0))
+    assert of(acts, api.Cancel) == [api.Cancel(first.id, 0)]
+    assert not w.gw.fleet.servers[copy[0].host].out and w.gw.fleet.out == 0
+    acts = w.end(first, "cancelled") + w.wait(3.0)
+    assert not of(acts, (api.Send, api.Refuse, api.Fail))  # its time does not count any longer
+    w.do(api.Outcome(first.id, 1, copy[0].host, "reset", 2.0, True))
+    assert not w.gw.jobs
