--- a/calicomast/net/resp.py
+++ b/calicomast/net/resp.py
@@ -51,7 +51,7 @@
             if length is None:
                 self.reader.feed(data[:at] + POISON)
                 return
-            if length > SMALL + 2:
+            if length > SMALL + 2 and self.at_large():
                 self.reader.feed(data[:at])
                 self.begun, self.held, self.line, self.skip = length - 2, data[end + 2:], b"", 0
                 return
@@ -75,11 +75,15 @@
                 self.parts, self.part = count if self.part >= self.parts else -1, 0
                 return 0 if count <= MOST_PARTS else None
             self.part += 1
-            most = MOST_LARGE if (self.parts, self.part - 1) == self.large else self.most
+            most = MOST_LARGE if self.at_large() else self.most
             return None if count > most else count + 2 if count >= 0 else 0
         self.part += 1
         return 0 if kind in (b"+", b"-", b":") else None
 
+    def at_large(self) -> bool:
+        """Whether the part that was announced last may be a large one."""
+        return (self.parts, self.part - 1) == self.large
+
     def pass_on(self, sink: Callable[[bytes], None]) -> None:
         """The large string that has begun goes to `sink` as it comes, its END last."""
         self.sink, self.left, self.begun, self.end = sink, self.begun + 2, 0, b""
@@ -109,8 +113,7 @@
 
     def in_last(self) -> bool:
         """Whether the last part of an array that may hold a large one has been announced and is not whole."""
-        return (self.parts, self.part) == (self.large[0], self.large[1] + 1) and (
-            self.skip > 0 or self.left > 0 or self.begun > 0)
+        return self.at_large() and (self.skip > 0 or self.left > 0 or self.begun > 0)
 
     def has_data(self) -> bool:
         return bool(self.line) or self.begun > 0 or self.left > 0 or self.reader.has_data()
--- a/tests/test_net_hosts.py
+++ b/tests/test_net_hosts.py
@@ -22,7 +22,8 @@
 
 @pytest.mark.parametrize("odd", [b"+OK\r\n", b"$2\r\nOK\r\n", b"*0\r\n", b"*-1\r\n", b"*1\r\n$-1\r\n",
                                  b":1\r\n", b"*1\r\n:1\r\n", b"nonsense\r\n", b"$-1\r\n",
-                                 b"*3\r\n$%d\r\n" % (4 * 2 ** 20 + 1), b"*1\r\n$65537\r\n"])
+                                 b"*3\r\n$%d\r\n" % (4 * 2 ** 20 + 1), b"*1\r\n$69633\r\n",
+                                 b"*1\r\n$65537\r\n" + b"x" * 65537 + b"\r\n"])
 @on_loop
 async def test_what_is_no_value_of_a_host_is_not_served(odd, tmp_path):
     async with StubHost(odd) as host, Node(host, path=tmp_path) as node:
--- a/tests/test_net_large.py
+++ b/tests/test_net_large.py
@@ -42,6 +42,7 @@
 
 @pytest.mark.parametrize("text", [
     b"*4\r\n$8\r\nAPI.READ\r\n$70000\r\n", b"*5\r\n$70000\r\n", b"$70000\r\n",
+    b"*2\r\n*5\r\n$1\r\na\r\n$1\r\na\r\n$1\r\na\r\n$1\r\na\r\n$70000\r\n",
     b"*5\r\n$1\r\na\r\n$1\r\na\r\n$1\r\na\r\n$1\r\na\r\n$%d\r\n" % (MOST_LARGE + 1)])
 @on_loop
 async def test_only_a_body_may_be_large_and_none_is_larger_than_the_protocol_allows(text, tmp_path):
