--- a/calicomast/net/clients.py
+++ b/calicomast/net/clients.py
@@ -22,7 +22,8 @@
 BACKLOG = 1024
 MOST_PENDING = 512  # commands of one connection in work; past that it is not read
 HEAD_WITHIN = 2.5  # s for a connection's first command, and for one that has begun, to come but for its body
-PIECE_WITHIN = 2.2  # s between two pieces of a body; between two that a client takes of an answer: ten times
+PIECE_WITHIN = 2.2  # s between two pieces of a body
+TAKEN_WITHIN = 60.0  # s after which a client that takes nothing more of its answers is given up
 SWEEP = 0.2  # s between looks for those that took longer
 LAST_READ = 1.6  # s into a drain from which nothing more is read: at 4 s only older requests are open
 FIRST_WITHIN = 1.0  # s for the first command of a connection that comes during a drain
@@ -108,7 +109,8 @@
         self.moved, self.unsent = 0.0, 0  # when the client last took something; bytes it had not taken then
         self.pending: deque[Slot] = deque()
         self.partial = 0  # bytes read of a command that is not whole yet
-        self.active = self.heard = monotonic()  # when the last whole command came, or else the connection
+        self.came = self.heard = monotonic()  # when the connection came; when the last bytes did
+        self.active = self.came  # when the last whole command came, or else the connection
         self.awaited: float | None = self.active  # since when a command is due; None: between commands
         self.closing = self.broken = self.paused = self.flooded = False
         self.last = False  # nothing more is read until a drain is over
@@ -188,13 +190,13 @@
         unsent = self.transport.get_write_buffer_size() if self.paused else 0
         if not self.paused or unsent != self.unsent:
             self.moved, self.unsent = now, unsent
-        elif now - self.moved > 10 * PIECE_WITHIN and not self.transport.is_closing():
+        elif now - self.moved > TAKEN_WITHIN:
             self.broken = True
             self.transport.abort()
 
     def check_drain(self, now: float, since: float) -> None:
         """What has rested so long that no request crosses its end goes, and what came whole is the last."""
-        if now - since > LAST_READ and (self.pending or now - self.active > FIRST_WITHIN):
+        if now - since > LAST_READ and (self.pending or now - self.came > FIRST_WITHIN):
             self.last = True
             self.throttle()
         self.flush()
@@ -295,7 +297,8 @@
         """Holds the descriptor limit: the one that is between requests for longest goes."""
         self.clients[client] = None
         if len(self.clients) > self.most:
-            idle = [c for c in self.clients if c is not client and not c.pending and not c.closing]
+            idle = [c for c in self.clients if c is not client and not (
+                c.pending or c.closing or c.body or c.waits)]
             min(idle, key=lambda c: c.active, default=client).close_when_done()
 
     def left(self, client: Client) -> None:
--- a/calicomast/net/lives.py
+++ b/calicomast/net/lives.py
@@ -4,10 +4,13 @@
 
 import contextlib
 import fcntl
+import logging
 import os
 import tempfile
 from pathlib import Path
 
+log = logging.getLogger(__name__)
+
 
 class Lives:
     """Each process holds the lock of a file of its own, which ends with it however it ends."""
@@ -17,9 +20,13 @@
         self.lock, self.path = -1, ""
 
     def begin(self) -> None:
-        if self.folder is not None:
+        if self.folder is None:
+            return
+        try:
             self.lock, self.path = tempfile.mkstemp(prefix=self.prefix, dir=self.folder)
             fcntl.flock(self.lock, fcntl.LOCK_EX)
+        except OSError as err:  # it serves all the same, unseen by others
+            log.error("%s: %s", self.folder, err)
 
     def others(self) -> int:
         """How many others live. What earlier lives left behind is removed."""
--- a/tests/test_net_bans.py
+++ b/tests/test_net_bans.py
@@ -41,6 +41,13 @@
     assert bans.read() == {"h1": api.Ban("h1", True, 5.0)} and not bans.changed()
 
 
+def test_a_folder_that_cannot_be_written_to_does_not_keep_a_process_from_serving(tmp_path):
+    one = Lives(tmp_path / "none", "n0")
+    one.begin()
+    assert one.others() == 0
+    one.end()
+
+
 def test_only_processes_that_live_count_and_leavings_go(tmp_path):
     (tmp_path / "n0-life-left").write_text("")
     one, two, none = Lives(tmp_path, "n0"), Lives(tmp_path, "n0"), Lives(None, "n0")
--- a/tests/test_net_large.py
+++ b/tests/test_net_large.py
@@ -206,3 +206,46 @@
     three.got = -1  # it left
     budget.give(20)
     assert [s.got for s in (two, three, four)] == [6, -1, 3] and budget.used == 9
+
+
+@on_loop
+async def test_in_a_drain_a_body_that_is_still_coming_is_not_waited_for(tmp_path, monkeypatch):
+    monkeypatch.setattr(clients, "LAST_READ", 0.05)
+    monkeypatch.setattr(clients, "FIRST_WITHIN", 0.05)
+    async with StubHost() as host, Node(host, path=tmp_path) as node:
+        reader, writer = await node.connect()
+        writer.write(command(b"r1") + upload()[:90000])
+        assert await read_reply(reader) == SERVED
+        await until(lambda: node.node.clients.budget.used)
+        await node.call("POST /standby")
+        assert await reader.read() == b""
+        await until(lambda: not node.node.clients.budget.used)
+        assert len(host.commands) == 1
+
+
+@on_loop
+async def test_a_client_that_takes_nothing_more_is_given_up(tmp_path, monkeypatch):
+    monkeypatch.setattr(clients, "TAKEN_WITHIN", 0.3)
+    async with StubHost(value(BIG * 4)) as host, Node(host, path=tmp_path) as node:
+        reader, writer = await node.connect()
+        writer.transport.pause_reading()
+        for n in range(6):  # more than the sockets between them hold
+            writer.write(command(b"r%d" % n))
+        await until(lambda: node.node.clients.clients)
+        await until(lambda: not node.node.clients.clients)
+        await until(lambda: not node.node.works)
+
+
+@on_loop
+async def test_past_the_limit_a_connection_whose_body_is_coming_does_not_go(tmp_path):
+    async with StubHost() as host, Node(host, path=tmp_path) as node:
+        node.node.looking.cancel()
+        node.node.clients.most = 2
+        reader, writer = await node.connect()
+        writer.write(upload()[:90000])
+        await until(lambda: node.node.clients.budget.used)
+        rests, _ = await node.connect()
+        third, third_writer = await node.connect()
+        assert await rests.read() == b""
+        writer.write(upload()[90000:])
+        assert await read_reply(reader) == SERVED
