--- a/calicomast/net/resp.py
+++ b/calicomast/net/resp.py
@@ -75,8 +75,9 @@
                 self.parts, self.part = count if self.part >= self.parts else -1, 0
                 return 0 if count <= MOST_PARTS else None
             self.part += 1
-            most = MOST_LARGE if self.at_large() else self.most
-            return None if count > most else count + 2 if count >= 0 else 0
+            if count > self.most and not (count <= MOST_LARGE and self.at_large()):
+                return None
+            return count + 2 if count >= 0 else 0
         self.part += 1
         return 0 if kind in (b"+", b"-", b":") else None
 
--- a/tests/test_net_control.py
+++ b/tests/test_net_control.py
@@ -158,6 +158,17 @@
         assert await reader.read() == b""
 
 
+@on_loop
+async def test_a_process_at_its_end_is_neither_ready_nor_drained_nor_taken_back(tmp_path):
+    async with StubHost(None) as host, Node(host, path=tmp_path) as node:
+        await node.call("POST /maintenance/enter?host=h1")
+        await node.call("POST /standby")
+        node.node.state = "stopping"
+        assert (await node.call("GET /status"))[0] == 503
+        assert (await node.call("POST /active"))[0] == (await node.call("POST /standby"))[0] == 409
+        assert (await node.call("POST /maintenance/exit?host=h1"))[0] == 200
+
+
 @on_loop
 async def test_a_close_does_not_cross_a_request_that_has_come(tmp_path):
     async with StubHost() as host, Node(host, path=tmp_path) as node:
