--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -284,3 +284,11 @@
     assert not of(acts, (api.Send, api.Refuse, api.Fail))  # its time does not count any longer
     w.do(api.Outcome(first.id, 1, copy[0].host, "reset", 2.0, True))
     assert not w.gw.jobs
+
+
+def test_what_flows_at_its_clients_pace_leaves_its_host_room_for_others():
+    w = World(settings(plans=[BIG]), [host("h1")])
+    sent = [s for _ in range(8) for s in of(w.ask()[1], api.Send)]
+    assert len(sent) == 2 and w.gw.fleet.out == 2
+    acts = w.do(api.Began(sent[0].id, 0, "h1", 0.1))
+    assert len(of(acts, api.Send)) == 1 and w.gw.fleet.out == 2
