--- a/calicomast/net/clients.py
+++ b/calicomast/net/clients.py
@@ -158,7 +158,7 @@
         except hiredis.ProtocolError:
             self.fail(b"-ERR protocol error\r\n")
         else:
-            if self.reader.begun and not self.waits:
+            if self.reader.held and not self.waits:  # a body that was only announced gets no place yet
                 self.waits = True
                 self.server.budget.take(self.reader.begun, self)
             elif self.partial > MOST_COMMAND and not self.waits:  # one without end must not fill the memory
--- a/tests/test_net_large.py
+++ b/tests/test_net_large.py
@@ -159,6 +159,25 @@
         assert not host.commands
 
 
+@on_loop
+async def test_a_body_that_is_only_announced_holds_no_place(tmp_path, monkeypatch):
+    monkeypatch.setattr(clients, "PIECE_WITHIN", 0.3)
+    async with StubHost() as host, Node(host, path=tmp_path) as node:
+        node.node.looking.cancel()
+        node.node.clients.budget.most = len(BIG)
+        head = upload()[:-len(BIG) - 2]
+        reader, writer = await node.connect()
+        writer.write(head)
+        await until(lambda: any(c.reader.begun for c in node.node.clients.clients))
+        assert await node.ask(upload()) == SERVED
+        assert await reader.read() == b"-ERR no whole command in time\r\n"
+        slow, slow_writer = await node.connect()
+        slow_writer.write(upload(b"w2")[:-len(BIG) - 2])
+        await until(lambda: any(c.reader.begun for c in node.node.clients.clients))
+        slow_writer.write(upload(b"w2")[-len(BIG) - 2:])
+        assert await read_reply(slow) == SERVED
+
+
 @on_loop
 async def test_a_body_without_room_waits_unread_until_there_is_some(tmp_path):
     async with StubHost() as host, Node(host, path=tmp_path) as node:
