--- a/calicomast/net/gateway.py
+++ b/calicomast/net/gateway.py
@@ -137,7 +137,8 @@
             self.discovery.watch(True)
         port = await self.clients.listen(*self.config.listen, self.config.inherited)
         if self.control and self.config.control:
-            await self.control.listen(self.config.control)
+            called = await self.control.listen(self.config.control)
+            log.info("calls are taken at %s:%d", self.config.control[0], called)
         return port
 
     def look(self) -> None:
--- a/tests/test_net_process.py
+++ b/tests/test_net_process.py
@@ -179,16 +179,16 @@
 
     async def start(self):
         """A process that is ready; where its second address is."""
-        with socket.socket() as free:
-            free.bind(("127.0.0.1", 0))
-            second = free.getsockname()[1]
         env = {**os.environ, "RELAY_CONFIG": str(self.config), "RELAY_SOCKET_FD": str(self.sock.fileno()),
-               "RELAY_CONTROL": f"127.0.0.1:{second}", "RELAY_LISTEN": f"127.0.0.1:{self.port}",
+               "RELAY_CONTROL": "127.0.0.1:0", "RELAY_LISTEN": f"127.0.0.1:{self.port}",
                "TMPDIR": str(self.folder)}
         program = await asyncio.create_subprocess_exec(*PROGRAM, cwd=ROOT, env=env, stderr=subprocess.PIPE,
                                                        pass_fds=[self.sock.fileno()])
         self.programs.append(program)
+        second = 0
         while line := await program.stderr.readline():
+            if b"calls are taken at" in line:
+                second = int(line.decode().rsplit(":", 1)[1])
             if b"listens on" in line:
                 break
         assert (await control(second, "GET /status"))[0] == 200
