Judge a restarted host anew, and measure cold hosts by what warm ones answer

Two lines of Fleet: `may_send` took a cold host's part from own sends over all hosts that are listed, so many cold hosts made the part of each smaller, and idle hosts kept it so; it also counted what fails. `listed` made a new Server for a host that started again but kept the doubt of its last life, so connects refused while it was away went on against it for half of 10 s.

Ruled out: late lists (all hosts listed by 15.05 s), the credit being spent on refused sends (none were refused).

--- a/calicomast/policy.py
+++ b/calicomast/policy.py
@@ -225,6 +225,8 @@
         self.banned: dict[str, float] = {}  # hosts that an operator took out, and when
         self.mean, self.dev, self.seen = dict[str, float](), dict[str, float](), dict[str, int]()
         self.rate, self.rate_at = 0.0, 0.0  # own sends a second
+        self.done, self.done_at = 0.0, 0.0  # answers a second from warm hosts
+        self.warm, self.warm_at = 0.0, -math.inf  # weight of the warm hosts
         self.out, self.held, self.reports = 0, 0.0, False  # own attempts out; mean load of reports, if any
         self.pressure, self.answer_at = 0.0, 0.0
         self.top = 1.0  # largest weight
@@ -249,6 +251,7 @@
                 # Credit starts anywhere below one send: first sends of many gateways are spread over time.
                 self.servers[host.id] = Server(host, now, self.rng.random(), old.out if old else {},
                                                host.started)
+                self.doubt.forget(host.id)  # what its last life did says nothing of this one
             else:
                 old.host, old.up = host, host.state == "up"
         self.refresh()
@@ -275,6 +278,16 @@
     def own_rate(self, now: float) -> float:
         return self.rate * math.exp((self.rate_at - now) / RATE_SPAN)
 
+    def bears(self, s: Server, now: float) -> float:
+        """What a warm host of this size answers for this gateway, a second. Sends would count what fails as
+        well, and a mean over all hosts the cold ones, which then stay idle because they are."""
+        if now - self.warm_at > TICK:
+            rules = self.set.rules
+            self.warm, self.warm_at = sum(x.host.weight for x in self.up if x.warmth(now, rules) == 1.0), now
+        if self.warm > 0:
+            return self.done * math.exp((self.done_at - now) / RATE_SPAN) * s.host.weight / self.warm
+        return self.own_rate(now) / max(1, len(self.up))
+
     def patience(self, name: str) -> float:
         """Time after which an attempt is taken for silent."""
         return max(TICK, self.mean[name] + COPY_AT * self.dev[name])
@@ -289,7 +302,7 @@
         if warm == 1.0:
             return True
         # A cold host falls over when all gateways together send more than it bears: credit is saved up.
-        rate = warm * rules.fall_multiple * COLD_PART * self.own_rate(now) / max(1, len(self.up))
+        rate = warm * rules.fall_multiple * COLD_PART * self.bears(s, now)
         s.credit = min(s.credit + (now - s.credit_at) * rate, max(1.0, rate * rules.fall_time))
         s.credit_at = now
         return s.credit >= 1.0
@@ -343,6 +356,9 @@
         if event.report or event.result in ("ok", "timeout"):
             gain = max(QUICK / 2, 1 - math.exp((self.answer_at - now) / PRESS_SPAN))
             self.pressure, self.answer_at = self.pressure + min(gain, 0.5) * (high - self.pressure), now
+        if event.result == "ok" and s.warmth(now, self.set.rules) == 1.0:
+            self.done = self.done * math.exp((self.done_at - now) / RATE_SPAN) + 1.0 / RATE_SPAN
+            self.done_at = now
         if event.result != "ok" or cls is None:
             return
         s.ratio += QUICK * (min(event.elapsed / max(self.mean[cls.name], 1e-6), 10.0) - s.ratio)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -80,3 +80,51 @@
     w.do(api.Ban("h1", False, w.now - 5.0))
     w.do(api.Ban("h9", False, w.now))  # of a host that no list has named here
     assert abs(w.gw.fleet.servers["h1"].warmth(w.now, w.conf.rules) - 0.6) < 1e-9
+
+
+def test_a_host_that_started_again_is_not_held_to_what_its_last_life_did():
+    w = World(settings(plans=[BIG], gateways=1, rules=dict(cold_time=0.1)), [host("h1")])
+    for _ in range(6):
+        w.end(of(w.ask()[1], api.Send)[0], "reset", final=True)
+    w.do(api.HostList("delta", 2, (host("h2"),)))
+    before = [s for _ in range(4) for s in of(w.ask()[1], api.Send)]
+    for s in before:
+        w.end(s)
+    w.do(api.HostList("delta", 3, (host("h1", started=w.now),)))
+    w.now += 0.2
+    after = [s.host for _ in range(4) for s in of(w.ask()[1], api.Send)]
+    assert [s.host for s in before] == ["h2"] * 4 and "h1" in after
+
+
+def many(gateways, hosts, **kw):
+    return [World(settings(plans=[BIG], gateways=gateways, index=k, **kw), hosts, seed=k)
+            for k in range(gateways)]
+
+
+def play(worlds, seconds, sent, step=0.05):
+    """Each gateway is asked four times a second; all that is sent is answered at once and counted by host."""
+    for n in range(round(seconds / step)):
+        for k, w in enumerate(worlds):
+            w.now += step
+            w.do(api.Timer(0))
+            if (n + k) % 5 == 0:
+                for s in of(w.ask()[1], api.Send):
+                    sent.setdefault(s.host, []).append(w.now)
+                    w.end(s)
+
+
+def test_cold_hosts_get_what_their_warmth_is_worth_however_many_are_cold():
+    worlds = many(40, [host(f"h{n}") for n in range(12)])
+    usual: dict[str, list[float]] = {}
+    play(worlds, 6.0, usual)
+    bears = sum(len(times) for times in usual.values()) / 6.0 / 12  # a second, by a warm host
+    cold = tuple(host(f"h{n}", started=worlds[0].now) for n in range(9))
+    for w in worlds:
+        w.do(api.HostList("delta", 2, cold))
+    sent: dict[str, list[float]] = {}
+    play(worlds, 4.0, sent)
+    each = sum(len(sent[h.id]) for h in cold) / 4.0 / len(cold)
+    assert 0.12 * bears < each < 0.36 * bears  # it can do 0.2 to 0.52 of that meanwhile
+    for h in cold:  # nor is any pushed over: twice what it can do, some slack for chance
+        times = sent[h.id]
+        assert max(sum(t <= x < t + 2.0 for x in times) for t in times) < 2.0 * 2.0 * 0.3 * bears
