Bound what a gateway has out by the hosts that can do work, more evenly in a large fleet

`may_send` bounded by the number of listed hosts, twice the even part. The bound now counts hosts by warmth and soundness, and the slack for uneven traffic falls from 2 for few gateways (up to 4: unchanged) to 1.3 for 40.

--- a/calicomast/policy.py
+++ b/calicomast/policy.py
@@ -37,10 +37,12 @@
 PRESSED, PRESS_SPAN = 0.5, 1.5  # part of answers from congested servers that sheds work; s taken over
 SHED_FAST, SHED_BACK, SHED_LEAST = 0.7, 0.15, 0.05  # 1/s down, 1/s up, least part that still passes
 LIMIT_MOST, ROOM_CLEAR = 4.0, 0.6  # attempts out per server over all gateways; part that is clear room;
-OUT_SLACK = 2.0  # times its even part of them that one gateway may have out: traffic is uneven
+OUT_SLACK, OUT_EVEN = 2.0, 4.0  # times its even part that one gateway may have out: uneven traffic, the less
+# so the more gateways there are; gateways up to which it is as uneven as can be
 SERVERS_OF_HOST = 2.0  # requests a server works on at once, when nothing tells more
 GAIN, QUICK = 0.05, 0.15  # weight of a new answer in means; where a change must show in a few answers
 FORGET = 10.0  # s; half of what is known of a host's failures is forgotten, which is its next trial
+ABLE_SPAN = 0.1  # s between counts of the hosts that can do work
 REPORT_AGE, RATE_SPAN = 1.0, 3.0  # s; a load report says half as much after it; own sends are counted over it
 CHOICES, DRAWS = 4.0, 40  # servers compared, times servers over gateways; draws before all are looked at
 DOUBT_LEAST, DOUBT_MOST = 0.02, 0.6  # bounds of the part of hosts taken to fail before anything is seen
@@ -227,6 +229,7 @@
         self.rate, self.rate_at = 0.0, 0.0  # own sends a second
         self.done, self.done_at = 0.0, 0.0  # answers a second from warm hosts
         self.warm, self.warm_at = 0.0, -math.inf  # weight of the warm hosts
+        self.able, self.able_at = 0.0, -math.inf  # hosts that can do work, in whole ones
         self.out, self.held, self.reports = 0, 0.0, False  # own attempts out; mean load of reports, if any
         self.pressure, self.answer_at = 0.0, 0.0
         self.top = 1.0  # largest weight
@@ -293,9 +296,7 @@
         return max(TICK, self.mean[name] + COPY_AT * self.dev[name])
 
     def may_send(self, s: Server, now: float) -> bool:
-        # Many gateways with one out at each server overdrive all, so what one has out in all is limited too.
-        most = max(2.0, OUT_SLACK * LIMIT_MOST * len(self.up) / self.set.gateways)
-        if not s.up or len(s.out) >= int(self.limit + s.dice) or self.out >= most:
+        if not s.up or len(s.out) >= int(self.limit + s.dice):
             return False
         rules = self.set.rules
         warm = s.warmth(now, rules)
@@ -307,6 +308,15 @@
         s.credit_at = now
         return s.credit >= 1.0
 
+    def full(self, now: float, keys: tuple[str, ...]) -> bool:
+        """Many gateways with one out at each server overdrive all, so what one has out in all is limited too:
+        by the hosts that can do the work, since cold and failing ones leave it to the rest."""
+        if now - self.able_at > ABLE_SPAN:
+            self.able_at, rules = now, self.set.rules
+            self.able = sum(s.warmth(now, rules) * self.doubt.sound(s.host.id, keys, now) for s in self.up)
+        slack = 1.0 + (OUT_SLACK - 1.0) * min(1.0, math.sqrt(OUT_EVEN / self.set.gateways))
+        return self.out >= max(2.0, slack * LIMIT_MOST * self.able / self.set.gateways)
+
     def weight(self, s: Server, keys: tuple[str, ...], now: float) -> float:
         size = s.host.weight / self.top * s.warmth(now, self.set.rules)
         return size * self.doubt.sound(s.host.id, keys, now)
@@ -322,6 +332,8 @@
     def pick(self, now: float, keys: tuple[str, ...], fits: list[Server] | None) -> Server | None:
         """Best of some servers, drawn by weight: as many as this gateway has fresh reports for, two at least,
         since the best of all by an old report is the same server for all gateways."""
+        if self.full(now, keys):
+            return None
         pool = self.up if fits is None else fits
         few = max(2, math.ceil(CHOICES * len(pool) / self.set.gateways))
         if few < len(pool):
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -128,3 +128,18 @@
     for h in cold:  # nor is any pushed over: twice what it can do, some slack for chance
         times = sent[h.id]
         assert max(sum(t <= x < t + 2.0 for x in times) for t in times) < 2.0 * 2.0 * 0.3 * bears
+
+
+def test_what_one_of_many_gateways_has_out_goes_by_the_hosts_that_can_do_work():
+    out = {}
+    for cold in (0, 45):
+        hosts = [host(f"h{n}", started=1000.0 if n < cold else 0.0) for n in range(60)]
+        w = World(settings(plans=[BIG], gateways=40), hosts)
+        out[cold] = sum(len(of(w.ask()[1], api.Send)) for _ in range(60))
+    assert 6 <= out[0] <= 8  # a third more than its even part of four a host
+    assert 3 <= out[45] <= 4
+
+
+def test_what_a_gateway_of_few_has_out_is_as_it_was():
+    w = World(settings(plans=[BIG], gateways=2), [host("h1"), host("h2"), host("h3")])
+    assert sum(len(of(w.ask()[1], api.Send)) for _ in range(60)) == 6  # two a host: half of four
