--- a/calicomast/net/discovery.py
+++ b/calicomast/net/discovery.py
@@ -1,9 +1,15 @@
-"""Discovery: the whole list of hosts once, then a watch for its changes."""
+"""Discovery: a watch for changes of the list of hosts, and the whole list where there is none to change.
+
+One service may answer all gateways, and what starts or fails for all of them at one moment would ask it at
+one moment for good. So each waits for a time drawn by chance, the longer the more of them there are, and asks
+for what has changed since its last list: that costs the service less than the whole one.
+"""
 
 from __future__ import annotations
 
 import asyncio
 import logging
+import random
 from collections.abc import Callable
 from typing import Any
 
@@ -12,8 +18,11 @@
 from calicomast.net.listing import Address, Listing, read_list
 
 WAIT = 5.0  # s that discovery may hold a watch open
-ANSWER = 2.0  # s past that, or for the whole list, after which the call is given up
-BACKOFF_LEAST, BACKOFF_MOST = 0.05, 1.0  # s between tries after a failure
+ANSWER = 5.0  # s past that, or for the whole list, after which the call is given up: it waits its turn there
+BACKOFF_LEAST, BACKOFF_MOST = 0.05, 1.0  # s; bounds of the pause after a failure, for up to FEW gateways
+FEW = 2  # gateways; with more of them pauses are longer in proportion, so that all together ask as often
+START_EACH = 0.1  # s that the first call of each gateway but a few is given, where all begin together
+START_FEW = 5  # gateways that ask at once
 
 log = logging.getLogger(__name__)
 
@@ -23,13 +32,31 @@
     return f"http://{f'[{host}]' if ':' in host else host}:{port}/v1/endpoints"
 
 
+class Backoff:
+    """Waits before calls: full jitter, below a bound that doubles with each failure."""
+
+    def __init__(self, gateways: int, rng: random.Random) -> None:
+        self.gateways, self.rng, self.fails = gateways, rng, 0
+
+    def start(self) -> float:
+        return self.rng.uniform(0.0, START_EACH * max(0, self.gateways - START_FEW))
+
+    def pause(self) -> float:
+        self.fails += 1
+        crowd = max(1.0, self.gateways / FEW)
+        most = min(BACKOFF_MOST, BACKOFF_LEAST * 2.0 ** min(self.fails, 16))
+        return crowd * self.rng.uniform(BACKOFF_LEAST, most)
+
+
 class Discovery:
-    """`told` gets each list, `failed` hears of each call that failed."""
+    """`told` gets each list, `failed` hears of each call that failed. `version` is that of the last list, or
+    None where there is none to go by."""
 
-    def __init__(self, address: Address, version: int, told: Callable[[Listing], None],
-                 failed: Callable[[], None]) -> None:
+    def __init__(self, address: Address, version: int | None, told: Callable[[Listing], None],
+                 failed: Callable[[], None], gateways: int = 1, seed: int = 0) -> None:
         self.url = url(address)
         self.version, self.told, self.failed = version, told, failed
+        self.backoff = Backoff(gateways, random.Random(seed))
         self.session: aiohttp.ClientSession | None = None
         self.watching: asyncio.Task[None] | None = None
         self.fetching: set[asyncio.Task[None]] = set()
@@ -48,23 +75,28 @@
         try:
             await self.get(params, limit)
         except Exception as err:  # whatever it is, the watch must outlive it
-            log.warning("discovery: %s %s; the last list stays", type(err).__name__, err)
+            if isinstance(err, ValueError):  # unreadable: what changed there is in the whole list
+                self.version = None
+            if not self.backoff.fails:
+                log.warning("discovery: %s %s; the last list stays, asking again with pauses",
+                            type(err).__name__, err)
             self.failed()
             return False
+        if self.backoff.fails:
+            log.info("discovery: answers again after %d failures", self.backoff.fails)
+            self.backoff.fails = 0
         return True
 
     async def run(self) -> None:
-        pause, whole = BACKOFF_LEAST, True
+        if self.version is not None:  # what is known serves meanwhile
+            await asyncio.sleep(self.backoff.start())
         while True:
-            if whole:
+            if self.version is None:
                 done = await self.attempt({}, ANSWER)
             else:  # at once after the last answer: past 200 ms it would be a new watch
                 done = await self.attempt({"index": self.version, "wait": int(WAIT * 1000)}, WAIT + ANSWER)
-            if done:
-                pause, whole = BACKOFF_LEAST, False
-            else:
-                await asyncio.sleep(pause)
-                pause, whole = min(BACKOFF_MOST, 2 * pause), True
+            if not done:
+                await asyncio.sleep(self.backoff.pause())
 
     def watch(self, on: bool) -> None:
         if on and self.watching is None:
@@ -75,7 +107,7 @@
 
     def move(self, address: Address) -> None:
         """To another address: a watch begins again there, with the whole list."""
-        self.url = url(address)
+        self.url, self.version = url(address), None
         if self.watching is not None:
             self.watch(False)
             self.watch(True)
--- a/calicomast/net/gateway.py
+++ b/calicomast/net/gateway.py
@@ -116,8 +116,11 @@
         self.hosts = Hosts(config.connect_timeout, config.idle_close, 0)
         self.control = Control(self) if config.control else None
         self.counter = Counter(config.counter, self.settings.counter_timeout) if config.counter else None
-        self.discovery = Discovery(config.discovery, config.known.hosts.version, self.listed,
-                                   self.list_failed)
+        # Where lists are pushed, asking costs nothing; else what is known need not be told again.
+        known = config.known.hosts
+        version = known.version if known.hosts and self.settings.discovery == "ask" else None
+        self.discovery = Discovery(config.discovery, version, self.listed, self.list_failed,
+                                   self.settings.gateways, config.seed)
         self.actions = {
             api.Send: self.send, api.Refuse: self.refuse, api.Fail: self.fail, api.Cancel: self.cancel,
             api.Count: self.count, api.SetTimer: self.set_timer, api.Probe: self.probe,
@@ -209,7 +212,7 @@
 
     def list_failed(self) -> None:
         if self.settings.discovery == "ask":
-            self.feed(api.HostList("failed", self.discovery.version, ()))
+            self.feed(api.HostList("failed", self.discovery.version or 0, ()))
 
     # Clients
 
