Weigh a class's first mean and deviation as four answers: one answer made copies of all that followed

Each copy that is called off costs its connection, and a handshake costs more here. `Fleet.answered` replaced the mean by the first answer and set the deviation to 0, as its gain is 1 / answers seen; one gateway of 40 takes seconds to see a few of a class.

Ruled out: copies that are due to slow hosts alone (those come in the same hosts later, ten times rarer).

--- a/calicomast/policy.py
+++ b/calicomast/policy.py
@@ -40,6 +40,7 @@
 OUT_SLACK, OUT_EVEN = 2.0, 4.0  # times its even part that one gateway may have out: uneven traffic, the less
 # so the more gateways there are; gateways up to which it is as uneven as can be
 SERVERS_OF_HOST = 2.0  # requests a server works on at once, when nothing tells more
+PRIOR = 4  # answers that a class's first mean and deviation stand for: one answer alone tells no deviation
 GAIN, QUICK = 0.05, 0.15  # weight of a new answer in means; where a change must show in a few answers
 FORGET = 10.0  # s; half of what is known of a host's failures is forgotten, which is its next trial
 ABLE_SPAN = 0.1  # s between counts of the hosts that can do work
@@ -241,7 +242,7 @@
         for c in settings.classes.values():
             if c.name not in self.mean:
                 self.mean[c.name] = self.dev[c.name] = min(c.aim / 5, c.deadline)
-                self.seen[c.name] = 0
+                self.seen[c.name] = PRIOR
 
     def listed(self, now: float, event: api.HostList) -> None:
         if event.mode not in ("delta", "failed"):
