Let each of many gateways use the hosts that follow its place on a ring, not all of them

`Fleet.pick` drew from all that are listed. Now it draws from those that do the work of three times the hosts whose even part it may have out, cold and failing ones counted for what they can do, and from all when these are taken; with few gateways that is every host. Ranks on the ring give each host the same number of gateways, whatever is lost.

--- a/calicomast/policy.py
+++ b/calicomast/policy.py
@@ -45,6 +45,7 @@
 FORGET = 10.0  # s; half of what is known of a host's failures is forgotten, which is its next trial
 ABLE_SPAN = 0.1  # s between counts of the hosts that can do work
 REPORT_AGE, RATE_SPAN = 1.0, 3.0  # s; a load report says half as much after it; own sends are counted over it
+OWN_PART = 3.0  # hosts that a gateway uses, times those whose even part of attempts it may have out
 CHOICES, DRAWS = 4.0, 40  # servers compared, times servers over gateways; draws before all are looked at
 DOUBT_LEAST, DOUBT_MOST = 0.02, 0.6  # bounds of the part of hosts taken to fail before anything is seen
 FAILS, CHANCE = 0.9, 0.05  # share of attempts that fail at a failing host; at a sound one
@@ -213,6 +214,7 @@
         self.began = began  # when it started, as far as is known; 0: long ago
         self.others, self.others_at, self.ratio = 0.0, -math.inf, 1.0  # ratio: time against the fleet's
         self.credit, self.credit_at, self.dice = credit, now, credit  # sends it may get from here while cold
+        self.place = stable_hash(host.id, "place")  # on the ring that gateways take their hosts from
 
     def warmth(self, now: float, rules: api.Rules) -> float:
         age = max(0.0, now - self.began)
@@ -225,6 +227,8 @@
         self.rng, self.doubt = rng, Doubt()
         self.servers: dict[str, Server] = {}
         self.up: list[Server] = []  # listed as up, and not banned
+        self.ring: list[Server] = []  # the same in order of their places, which is one for all gateways
+        self.own: list[Server] = []  # those that this gateway uses
         self.banned: dict[str, float] = {}  # hosts that an operator took out, and when
         self.mean, self.dev, self.seen = dict[str, float](), dict[str, float](), dict[str, int]()
         self.rate, self.rate_at = 0.0, 0.0  # own sends a second
@@ -274,6 +278,8 @@
 
     def refresh(self) -> None:
         self.up = [s for name, s in self.servers.items() if s.up and name not in self.banned]
+        self.ring = sorted(self.up, key=lambda s: s.place)
+        self.own, self.able_at = self.up, -math.inf
         self.top = max((s.host.weight for s in self.up), default=1.0) or 1.0
 
     def mean_held(self) -> float:
@@ -314,10 +320,28 @@
         by the hosts that can do the work, since cold and failing ones leave it to the rest."""
         if now - self.able_at > ABLE_SPAN:
             self.able_at, rules = now, self.set.rules
-            self.able = sum(s.warmth(now, rules) * self.doubt.sound(s.host.id, keys, now) for s in self.up)
+            able = [s.warmth(now, rules) * self.doubt.sound(s.host.id, keys, now) for s in self.ring]
+            self.able = sum(able)
+            self.own = self.part(able)
         slack = 1.0 + (OUT_SLACK - 1.0) * min(1.0, math.sqrt(OUT_EVEN / self.set.gateways))
         return self.out >= max(2.0, slack * LIMIT_MOST * self.able / self.set.gateways)
 
+    def part(self, able: list[float]) -> list[Server]:
+        """The hosts that this gateway uses: of many gateways each sees little of a host, learns it late and
+        finds no connection to it. So it takes those that follow its own place on the ring, which is the same
+        number of gateways for each host, until they do the work of as many whole hosts as it needs."""
+        total, count = len(self.ring), self.set.gateways
+        need = OWN_PART * max(1.0, LIMIT_MOST * total / count)
+        if need >= total:
+            return self.up
+        at, own = total * self.set.index // count, list[Server]()
+        for n in range(total):
+            if need <= 0:
+                break
+            own.append(self.ring[(at + n) % total])
+            need -= able[(at + n) % total]
+        return own
+
     def weight(self, s: Server, keys: tuple[str, ...], now: float) -> float:
         size = s.host.weight / self.top * s.warmth(now, self.set.rules)
         return size * self.doubt.sound(s.host.id, keys, now)
@@ -335,7 +359,7 @@
         since the best of all by an old report is the same server for all gateways."""
         if self.full(now, keys):
             return None
-        pool = self.up if fits is None else fits
+        pool = self.own if fits is None else fits
         few = max(2, math.ceil(CHOICES * len(pool) / self.set.gateways))
         if few < len(pool):
             draws = (pool[int(self.rng.random() * len(pool))] for _ in range(DRAWS))
@@ -343,6 +367,8 @@
             fit = (s for s in draws if sure() < self.weight(s, keys, now) and self.may_send(s, now))
             pool = list(itertools.islice(fit, few)) or pool
         able = [s for s in pool if self.may_send(s, now)]
+        if not able and pool is not self.up and fits is None:
+            able = [s for s in self.up if self.may_send(s, now)]
         return min(able, key=lambda s: self.score(s, keys, now) + TICK * self.rng.random(), default=None)
 
     def sent(self, s: Server, key: tuple[str, int], now: float) -> None:
@@ -739,7 +765,9 @@
                    for h in known)
 
     def choose(self, now: float, job: Job) -> Server | None:
-        fits = [x for x in self.fleet.up if self.fits(job, x, now)] if job.avoid else None
+        fits = [x for x in self.fleet.own if self.fits(job, x, now)] if job.avoid else None
+        if fits == [] and self.fleet.own is not self.fleet.up:
+            fits = [x for x in self.fleet.up if self.fits(job, x, now)]
         return self.fleet.pick(now, job.keys, fits)
 
     def send(self, now: float, job: Job) -> bool:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -150,3 +150,49 @@
     w.end(of(w.ask()[1], api.Send)[0], elapsed=0.01)
     assert of(w.ask()[1], api.Send) and not of(w.wait(0.3), api.Send)
     assert of(w.wait(0.8), api.Send)  # but one that is long silent gets its copy
+
+
+def used(worlds):
+    """How many gateways have each host among those that they send to first."""
+    hosts: dict[str, int] = {}
+    for w in worlds:
+        w.now += 1.0
+        w.end(of(w.ask()[1], api.Send)[0])
+        for s in w.gw.fleet.own:
+            hosts[s.host.id] = hosts.get(s.host.id, 0) + 1
+    return hosts
+
+
+def test_many_gateways_use_a_part_of_the_hosts_each_and_each_host_is_used_alike():
+    names = [f"h{n}" for n in range(60)]
+    worlds = many(40, [host(name) for name in names])
+    before = used(worlds)
+    assert sum(before.values()) <= 40 * 20 and set(before) == set(names)
+    assert max(before.values()) - min(before.values()) <= 2
+    for w in worlds:  # a zone is lost, and some of the rest are replaced
+        gone = tuple(host(name, state="down") for name in names[:36])
+        w.do(api.HostList("delta", 2, gone + tuple(host(f"new{n}") for n in range(6))))
+    after = used(worlds)
+    assert len(after) == 30 and max(after.values()) - min(after.values()) <= 2
+    sent: dict[str, list[float]] = {}
+    play(worlds[:1], 20.0, sent)
+    assert len(sent) <= 12  # and sends to no others while these can take it
+
+
+def test_a_gateway_whose_hosts_fail_uses_others():
+    w = World(settings(plans=[BIG], gateways=40), [host(f"h{n}") for n in range(60)])
+    w.end(of(w.ask()[1], api.Send)[0])
+    bad = {s.host.id for s in w.gw.fleet.own}
+    assert len(bad) <= 20
+    good = 0
+    for _ in range(80):
+        w.now += 0.1
+        for s in of(w.ask()[1], api.Send):
+            good += s.host not in bad
+            w.end(s, "error" if s.host in bad else "ok", final=True)
+    assert good > 40
+
+
+def test_few_gateways_use_all_hosts():
+    worlds = many(3, [host(f"h{n}") for n in range(10)])
+    assert used(worlds) == {f"h{n}": 3 for n in range(10)}
