Share what a cold host bears among the gateways that use it, not among all

It divides by the own ones now. What is beyond the own goes to warm hosts only: cold ones would there have been drawn on by three times the gateways that they are shared among.

--- a/calicomast/policy.py
+++ b/calicomast/policy.py
@@ -293,10 +293,15 @@
         well, and a mean over all hosts the cold ones, which then stay idle because they are."""
         if now - self.warm_at > TICK:
             rules = self.set.rules
-            self.warm, self.warm_at = sum(x.host.weight for x in self.up if x.warmth(now, rules) == 1.0), now
+            self.warm, self.warm_at = sum(x.host.weight for x in self.own if x.warmth(now, rules) == 1.0), now
         if self.warm > 0:
             return self.done * math.exp((self.done_at - now) / RATE_SPAN) * s.host.weight / self.warm
-        return self.own_rate(now) / max(1, len(self.up))
+        return self.own_rate(now) / max(1, len(self.own))
+
+    def others(self, now: float) -> list[Server]:
+        """Hosts of other gateways, for when its own are taken. A cold one is left to those whose own it is:
+        what it bears is shared out among these."""
+        return [s for s in self.up if s.warmth(now, self.set.rules) == 1.0]
 
     def patience(self, name: str) -> float:
         """Time after which an attempt is taken for silent."""
@@ -368,7 +373,7 @@
             pool = list(itertools.islice(fit, few)) or pool
         able = [s for s in pool if self.may_send(s, now)]
         if not able and pool is not self.up and fits is None:
-            able = [s for s in self.up if self.may_send(s, now)]
+            able = [s for s in self.others(now) if self.may_send(s, now)]
         return min(able, key=lambda s: self.score(s, keys, now) + TICK * self.rng.random(), default=None)
 
     def sent(self, s: Server, key: tuple[str, int], now: float) -> None:
@@ -767,7 +772,7 @@
     def choose(self, now: float, job: Job) -> Server | None:
         fits = [x for x in self.fleet.own if self.fits(job, x, now)] if job.avoid else None
         if fits == [] and self.fleet.own is not self.fleet.up:
-            fits = [x for x in self.fleet.up if self.fits(job, x, now)]
+            fits = [x for x in self.fleet.others(now) if self.fits(job, x, now)]
         return self.fleet.pick(now, job.keys, fits)
 
     def send(self, now: float, job: Job) -> bool:
