--- a/tests/netkit.py
+++ b/tests/netkit.py
@@ -179,16 +179,19 @@
 
 
 class StubDiscovery:
-    """Serves `raw` where it is set, else the list; `changes` ends a watch; `silent`: it never answers."""
+    """Serves `raw` where it is set, else the list; `changes` ends a watch; `silent`: it never answers;
+    `refuses`: it answers 503."""
 
     def __init__(self):
-        self.servers, self.version, self.raw, self.silent = [], 1, None, False
+        self.servers, self.version, self.raw, self.silent, self.refuses = [], 1, None, False, False
         self.calls, self.changes = asyncio.Queue(), asyncio.Queue()
 
     async def answer(self, request):
         self.calls.put_nowait(dict(request.query))
         if self.silent:
             await asyncio.Event().wait()
+        if self.refuses:
+            return web.Response(status=503)
         if self.raw is not None:
             raw, self.raw = self.raw, None
             return web.Response(text=raw)
--- a/tests/test_net_discovery.py
+++ b/tests/test_net_discovery.py
@@ -99,6 +99,24 @@
         assert caplog.text.count("the last list stays") == 1  # not a line a try
 
 
+@on_loop
+async def test_discovery_that_refuses_is_asked_for_changes_again_and_said_once(tmp_path, caplog):
+    caplog.set_level("INFO")
+    asked = {**SETTINGS, "registry_mode": "on_request"}
+    async with StubHost() as host, Node(host, path=tmp_path, settings=asked) as node:
+        node.discovery.refuses = True
+        node.discovery.changes.put_nowait([])  # ends the watch that may have begun
+        for _ in range(3):
+            assert (await node.discovery.calls.get())["index"] == "1"
+        assert await node.ask(command()) == SERVED
+        node.discovery.refuses = False
+        node.discovery.changes.put_nowait([entry(host, "h2")])
+        while (await node.discovery.calls.get())["index"] != "2":
+            pass
+        assert caplog.text.count("the last list stays") == 1
+        assert "answers again" in caplog.text
+
+
 @on_loop
 async def test_where_lists_must_be_asked_for_the_first_call_is_for_changes_of_the_known_one(tmp_path):
     asked = {**SETTINGS, "registry_mode": "on_request"}
