Carry what a customer spent over a change of its plan's figures

Cause: Gateway.request took any plan that is not equal for a new customer's, with a full store and nothing to charge; leases in hand and uncharged use went with the old account. Ruled out: the counter, whose totals were right under both names.

Windows of the same length now go on as they are. In others each gateway owes what it let pass itself and counts on the rest of the last total until the window ends; a window that comes back within its time goes on and hears what was spent meanwhile; open attempts of before still hold their places.

--- a/calicomast/net/bans.py
+++ b/calicomast/net/bans.py
@@ -36,13 +36,12 @@
     return bans
 
 
-class Bans:
-    """One small file, replaced whole. Without a folder the bans last as long as the process."""
+class Kept:
+    """One small file that the processes of a gateway share: read whole, and replaced whole under a lock."""
 
-    def __init__(self, folder: Path | None, name: str) -> None:
-        self.path = folder / f"{name}-hosts-out.json" if folder else None
+    def __init__(self, path: Path | None) -> None:
+        self.path = path
         self.seen: Signature | None = None
-        self.known: dict[str, api.Ban] = {}
 
     def signature(self) -> Signature | None:
         if self.path is None:
@@ -57,32 +56,20 @@
         """Whether another process has written since this one last read or wrote."""
         return self.path is not None and self.signature() != self.seen
 
-    def read(self) -> dict[str, api.Ban]:
-        """All that is known; a file that is torn or foreign changes nothing."""
-        if self.path is None:
-            return self.known
+    def read(self) -> str | None:
+        """None where nothing was kept yet. Raises OSError, or ValueError for what is no text."""
         self.seen = self.signature()
         try:
-            self.known = read_bans(self.path.read_text(encoding="utf-8"))
+            return self.path.read_text(encoding="utf-8") if self.path else None
         except FileNotFoundError:
-            pass
-        except (OSError, ValueError) as err:
-            log.error("%s: %s; the hosts out stay as they were", self.path, err)
-        return self.known
-
-    def say(self, ban: api.Ban) -> None:
-        """Raises OSError where it cannot be kept."""
-        with self.locked():
-            known = {**self.read(), ban.host: ban}
-            self.known = {h: b for h, b in known.items() if b.out or ban.at - b.at < KEEP_BACK}
-            self.write()
+            return None
 
-    def write(self) -> None:
+    def write(self, text: str) -> None:
+        """Under the lock, so that what an earlier life left half written is simply written over."""
         if self.path is None:
             return
-        fresh = self.path.with_suffix(".new")  # under the lock, so that a leaving is simply written over
-        fresh.write_text(json.dumps({h: {"out": b.out, "at": b.at} for h, b in self.known.items()}),
-                         encoding="utf-8")
+        fresh = self.path.with_suffix(".new")
+        fresh.write_text(text, encoding="utf-8")
         fresh.replace(self.path)
         self.seen = self.signature()
 
@@ -97,3 +84,28 @@
             yield
         finally:
             os.close(lock)
+
+
+class Bans:
+    """Without a folder the bans last as long as the process."""
+
+    def __init__(self, folder: Path | None, name: str) -> None:
+        self.kept = Kept(folder / f"{name}-hosts-out.json" if folder else None)
+        self.changed = self.kept.changed
+        self.known: dict[str, api.Ban] = {}
+
+    def read(self) -> dict[str, api.Ban]:
+        """All that is known; a file that is torn or foreign changes nothing."""
+        try:
+            text = self.kept.read()
+            self.known = self.known if text is None else read_bans(text)
+        except (OSError, ValueError) as err:
+            log.error("%s: %s; the hosts out stay as they were", self.kept.path, err)
+        return self.known
+
+    def say(self, ban: api.Ban) -> None:
+        """Raises OSError where it cannot be kept."""
+        with self.kept.locked():
+            known = {**self.read(), ban.host: ban}
+            self.known = {h: b for h, b in known.items() if b.out or ban.at - b.at < KEEP_BACK}
+            self.kept.write(json.dumps({h: {"out": b.out, "at": b.at} for h, b in self.known.items()}))
--- a/calicomast/net/config.py
+++ b/calicomast/net/config.py
@@ -67,9 +67,13 @@
         tree = json.load(file)
         complete({key: None for key in last.tree}, tree, "the file")
         complete(last.tree["settings"], tree["settings"], "settings")
-        fresh = build(tree, {})
-    return replace(fresh, name=last.name, listen=last.listen, inherited=last.inherited, control=last.control,
-                   scratch=last.scratch, seed=last.seed, known=last.known)
+        return rebuild(last, tree)
+
+
+def rebuild(last: Config, tree: dict[str, Any]) -> Config:
+    """What `tree` says; what a process that runs cannot change stays as it is."""
+    return replace(build(tree, {}), name=last.name, listen=last.listen, inherited=last.inherited,
+                   control=last.control, scratch=last.scratch, seed=last.seed, known=last.known)
 
 
 def complete(last: Any, fresh: Any, name: str) -> None:
--- a/calicomast/policy.py
+++ b/calicomast/policy.py
@@ -84,6 +84,9 @@
         self.start = self.k * self.length + self.phase
         self.lease = self.uncharged = self.adrift = self.put = 0.0  # adrift: charged on calls without answer
         self.total = self.debt = self.used = self.last_used = 0.0
+        self.carried = self.others = self.life = 0.0  # owed from before a change of windows, here and by the
+        # other gateways; units ever used here
+        self.past: list[Account] = []  # the customer's in other windows, as long as these or their work last
         self.call, self.full_until, self.seen_at, self.rng, self.dice = None, 0.0, now, rng, rng.random()
         self.waiting: list[str] = []
         # Ceiling: an even share, no failure can pass it; empty at a start, as the last life's use is unknown.
@@ -102,6 +105,29 @@
         self.k, self.start = k, k * self.length + self.phase
         self.lease = self.uncharged = self.adrift = self.put = self.used = self.full_until = 0.0
         self.total, self.debt, self.dice = debt, debt, self.rng.random()
+        self.carried = self.others = 0.0
+
+    def spend(self, units: float) -> None:
+        self.used += units
+        self.life += units
+
+    def resume(self, old: Account) -> None:
+        """Back in a window that was left for a moment: its count has not heard what was spent meanwhile."""
+        self.uncharged += old.life - self.life
+        self.used += old.life - self.life
+
+    def follow(self, old: Account, now: float) -> None:
+        """In windows of another length a count begins from nothing, so each gateway owes what it let pass
+        itself, at most what the refill has not made good, and counts on the others to do the same. This
+        window has refilled nothing so far. Harm: leases in hand lapse as at a turn."""
+        refill = old.hold(now) - old.plan.burst
+        missing = max(0.0, old.total + old.uncharged - max(refill, old.debt))
+        self.uncharged = self.carried = min(old.carried + old.used, missing)
+        self.debt = self.hold(now) - self.plan.burst + max(0.0, old.debt - refill)
+        self.others = missing - self.carried
+        self.total, self.last_used = self.debt + self.others, max(old.used, old.last_used)
+        if old.plan.ceiling_rate:
+            self.cap = min(self.cap, old.ceiling_room(now))
 
     def hold(self, now: float) -> float:
         return self.plan.burst + (REFILL if self.thin else 1.0) * self.plan.rate * (now - self.start)
@@ -509,8 +535,8 @@
     def request(self, now: float, req: api.Request) -> None:
         cls, plan = self.set.classes[req.cls], self.set.plans[req.plan]
         acct = self.accounts.pop(req.customer, None)
-        if acct is None or acct.plan != plan:  # of another plan the windows are others
-            acct = Account(req, plan, self.born, now, self.rng)
+        if acct is None or acct.plan != plan:
+            acct = self.account(now, req, plan, acct)
         self.accounts[req.customer], acct.seen_at = acct, now
         oldest = next(iter(self.accounts.values()))
         if now - oldest.seen_at > IDLE_MOST and not (oldest.call or oldest.open_here):
@@ -529,6 +555,26 @@
         else:
             self.want_slot(now, job)
 
+    def account(self, now: float, req: api.Request, plan: api.Plan, old: Account | None) -> Account:
+        """A new customer's, or one whose plan has changed: windows of one length go on, whatever else did."""
+        fresh = Account(req, plan, self.born, now, self.rng)
+        if old is None:
+            return fresh
+        old.roll(now)
+        if math.isclose(fresh.length, old.length):
+            old.plan, old.thin = plan, 0 < plan.burst < old.spread
+            return old
+        past = [a for a in (*old.past, old) if a.open_here or a.call or a.window(now) == a.k]
+        left = [a for a in past if math.isclose(a.length, fresh.length) and a.window(now) == a.k]
+        if left:
+            fresh = left[0]
+            fresh.plan, fresh.thin = plan, 0 < plan.burst < fresh.spread
+            fresh.resume(old)
+        else:
+            fresh.follow(old, now)
+        fresh.life, fresh.past = old.life, [a for a in past if a is not fresh]
+        return fresh
+
     def shed(self, now: float, job: Job) -> bool:
         """While answers come from servers that hold too much, what is worth least a unit of work is refused,
         whatever the cause: one gateway of many has too few out for a limit of its own to relieve them."""
@@ -560,7 +606,7 @@
             acct.uncharged += units
         else:
             return False
-        acct.used += units
+        acct.spend(units)
         self.want_slot(now, job)
         return True
 
@@ -589,7 +635,7 @@
         use.refill(now)
         if job.acct.thin and use.credit >= units and use.share > use.mistake(job.plan):
             use.credit -= units
-            job.acct.used += units
+            job.acct.spend(units)
             self.want_slot(now, job)
         else:
             self.beyond(now, job, 0.0)
@@ -659,6 +705,7 @@
             extra = acct.debt  # whoever finds the count empty brings the last window's overdraft along
         elif total < acct.put + mine:  # less than what is ours alone: counts were lost; add ours again
             extra = acct.put
+        total = max(total, acct.others + acct.put + mine)
         if not acct.thin:  # the store holds a burst at most: what a quiet customer let run over is gone
             extra += max(0, int(acct.hold(now) - acct.plan.burst - (total + extra - call.ask)))
         jobs = [self.jobs[i] for i in acct.waiting if i in self.jobs]
@@ -698,7 +745,7 @@
         over = 1 - sum(mean ** n * math.exp(-mean) / math.factorial(n) for n in range(plan.open_limit))
         cost = max(0.0, plan.over_cost - plan.over_worth)
         job.stage = "slot"
-        if acct.open_here < own:
+        if own and sum(a.open_here for a in (acct, *acct.past)) < own:
             job.slot = -1
             acct.open_here += 1
         elif shared and ask and self.counter.usable(now) and (
