Change the configuration by calls: checked, applied whole or not at all, rolled back

Operators could only replace a file and send SIGHUP: no check without effect, no history, no way back. At the control address there are now GET /config and /config/history, POST /config/check, apply (with the version expected, and with a time to confirm in), confirm and rollback; SIGHUP goes through the same steps with its contract as it was. Both processes of an upgrade follow one history.

--- a/calicomast/net/bans.py
+++ b/calicomast/net/bans.py
@@ -20,6 +20,10 @@
 Signature = tuple[int, int, int]
 
 
+class UnknownHost(Exception):
+    """No list has named this host."""
+
+
 def read_bans(text: str) -> dict[str, api.Ban]:
     """Raises ValueError if it is not what write() makes."""
     told = json.loads(text)
--- a/calicomast/net/control.py
+++ b/calicomast/net/control.py
@@ -1,29 +1,32 @@
-"""The second address, where operators and the platform call: readiness, hosts out by hand, drains."""
+"""The second address, where operators and the platform call: readiness, hosts out by hand, drains, changes of
+the configuration."""
 
 from __future__ import annotations
 
 import asyncio
+import inspect
 import logging
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 from aiohttp import web
 
+from calicomast.net.bans import UnknownHost
+from calicomast.net.changes import CONFIRM_LEAST, CONFIRM_MOST, Refused
+from calicomast.net.keys import MOST_BODY, MOST_TOLD, is_number
 from calicomast.net.listing import Address
 
 MOST_CALLERS = 16  # connections; past them the one that came first goes
 CALL_WITHIN = 6.0  # s after which a connection ends, with or without a call
 BACKLOG = 64
+BODY_WITHIN = 2.0  # s for a body to come
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 log = logging.getLogger(__name__)
 
 Answer = tuple[int, dict[str, Any]]
 
 
-class UnknownHost(Exception):
-    """No list has named this host."""
-
-
 class Callers(web.Server):
     """A connection is for one call: one that brings none is not kept, nor is one that stays after it."""
 
@@ -35,14 +38,20 @@
 
 
 class Control:
-    """`node` has status(), hand(host, out) and drain(on); they act before they return."""
+    """`node` has status(), hand(host, out) and drain(on), which act before they return, and its changes."""
 
     def __init__(self, node: Any) -> None:
         self.node = node
         self.server = Callers(self.call, access_log=None)
         self.listener: asyncio.Server | None = None
-        self.calls: dict[str, tuple[str, Callable[[web.BaseRequest], Answer]]] = {
+        self.calls: dict[str, tuple[str, Callable[[web.BaseRequest], Answer | Awaitable[Answer]]]] = {
             "/status": ("GET", self.status),
+            "/config": ("GET", self.config),
+            "/config/history": ("GET", self.history),
+            "/config/check": ("POST", self.check),
+            "/config/apply": ("POST", self.apply),
+            "/config/confirm": ("POST", self.confirm),
+            "/config/rollback": ("POST", self.roll_back),
             "/maintenance/enter": ("POST", lambda request: self.hand(request, True)),
             "/maintenance/exit": ("POST", lambda request: self.hand(request, False)),
             "/standby": ("POST", lambda request: self.drain(request, True)),
@@ -54,25 +63,30 @@
         return self.listener.sockets[0].getsockname()[1]
 
     async def call(self, request: web.BaseRequest) -> web.Response:
-        status, told = self.answer(request)
+        status, told = await self.answer(request)
         if request.method != "GET":
             log.info("control: %s %s: %d", request.method, request.path_qs, status)
         answer = web.json_response(told, status=status)
         answer.force_close()
         return answer
 
-    def answer(self, request: web.BaseRequest) -> Answer:
+    async def answer(self, request: web.BaseRequest) -> Answer:
         if request.path not in self.calls:
             return 404, {"error": "no such call"}
         method, act = self.calls[request.path]
         if request.method != method:
             return 405, {"error": f"this is a {method}"}
         try:
-            return act(request)
+            answer = act(request)
+            return await answer if inspect.isawaitable(answer) else answer
         except ValueError as err:
             return 400, {"error": str(err)}
+        except Refused as err:
+            return err.status, err.told
         except UnknownHost as err:
             return 404, {"error": f"no list has named host {err}"}
+        except TimeoutError:
+            return 408, {"error": f"no whole body within {BODY_WITHIN:.0f} s"}
         except OSError as err:
             log.error("control: %s", err)
             return 500, {"error": f"it does not outlast this process: {err}"}
@@ -93,6 +107,32 @@
             return 409, {"error": "this process is at its end"}
         return 200, {"state": self.node.state}
 
+    def config(self, request: web.BaseRequest) -> Answer:
+        names(request)
+        return 200, self.node.changes.whole()
+
+    def history(self, request: web.BaseRequest) -> Answer:
+        names(request)
+        return 200, {"versions": self.node.changes.told()}
+
+    async def check(self, request: web.BaseRequest) -> Answer:
+        names(request)
+        changes = self.node.changes
+        tree = changes.check(await body(request))
+        rows = changes.differences(tree)
+        return 200, {"changes": rows[:MOST_TOLD], "more": max(0, len(rows) - MOST_TOLD)}
+
+    async def apply(self, request: web.BaseRequest) -> Answer:
+        expect, within = names(request, "expect", maybe="confirm_within")
+        told = await self.node.changes.apply(await body(request), whole("expect", expect), span(within))
+        return 200, told
+
+    def confirm(self, request: web.BaseRequest) -> Answer:
+        return 200, self.node.changes.confirm(whole("version", names(request, "version")[0]))
+
+    async def roll_back(self, request: web.BaseRequest) -> Answer:
+        return 200, await self.node.changes.roll_back(whole("to", names(request, "to")[0]))
+
     def close(self) -> None:
         if self.listener:
             self.listener.close()
@@ -100,9 +140,40 @@
             caller.force_close()
 
 
-def names(request: web.BaseRequest, *wanted: str) -> list[str]:
-    """The values of exactly these names in the query. Raises ValueError if it holds others."""
-    if [name for name, _ in sorted(request.query.items())] != sorted(wanted) or (
-            not all(request.query.values())):
-        raise ValueError(f"the query must hold {' and '.join(wanted) or 'nothing'}")
-    return [request.query[name] for name in wanted]
+def names(request: web.BaseRequest, *wanted: str, maybe: str = "") -> list[str]:
+    """The values of exactly these names in the query; "" for one that may be there and is not. Raises
+    ValueError if it holds others."""
+    found = [name for name, _ in sorted(request.query.items())]
+    if found not in (sorted(wanted), sorted([*wanted, maybe])) or not all(request.query.values()):
+        least = f"the query must hold {' and '.join(wanted) or 'nothing'}"
+        raise ValueError(least + (f", and may hold {maybe}" if maybe else ""))
+    return [request.query.get(name, "") for name in ([*wanted, maybe] if maybe else wanted)]
+
+
+def whole(name: str, text: str) -> int:
+    if not (text.isascii() and text.isdecimal()) or len(text) > 9:
+        raise ValueError(f"{name} must be a version's number")
+    return int(text)
+
+
+def span(text: str) -> float | None:
+    if not text:
+        return None
+    try:
+        value = float(text)
+    except ValueError:
+        value = -1.0
+    if not is_number(value) or not CONFIRM_LEAST <= value <= CONFIRM_MOST:
+        raise ValueError(f"confirm_within must be {CONFIRM_LEAST:.0f} to {CONFIRM_MOST:.0f} seconds")
+    return value
+
+
+async def body(request: web.BaseRequest) -> bytes:
+    """All of it, or so much that it is known to be too large. Raises TimeoutError where it does not come."""
+    if request.headers.get("Expect", "").lower() == "100-continue" and request.transport is not None:
+        request.transport.write(CONTINUE)
+    read = bytearray()
+    async with asyncio.timeout(BODY_WITHIN):
+        while len(read) <= MOST_BODY and (piece := await request.content.readany()):
+            read += piece
+    return bytes(read)
--- a/calicomast/net/counter.py
+++ b/calicomast/net/counter.py
@@ -224,6 +224,16 @@
             if line.address != address:
                 line.move(address)
 
+    async def contact(self, address: Address) -> None:
+        """A `ping`, which costs nothing, at another address. Raises OSError where no `pong` comes."""
+        reader, writer = await asyncio.open_connection(*address, limit=MOST_LINE)
+        try:
+            writer.write(b"ping\r\n")
+            if (await reader.readline()).split() != [b"pong"]:
+                raise ConnectionError(f"no counter answers at {address[0]}:{address[1]}")
+        finally:
+            writer.transport.abort()
+
     def close(self) -> None:
         for task in self.tasks:
             task.cancel()
--- a/calicomast/net/discovery.py
+++ b/calicomast/net/discovery.py
@@ -48,6 +48,12 @@
         return crowd * self.rng.uniform(BACKOFF_LEAST, most)
 
 
+async def ask(session: aiohttp.ClientSession, place: str, params: dict[str, int], limit: float) -> Listing:
+    async with session.get(place, params=params, timeout=aiohttp.ClientTimeout(total=limit)) as answer:
+        answer.raise_for_status()
+        return read_list(await answer.json(content_type=None))
+
+
 class Discovery:
     """`told` gets each list, `failed` hears of each call that failed. `version` is that of the last list, or
     None where there is none to go by."""
@@ -64,12 +70,11 @@
     async def get(self, params: dict[str, int], limit: float) -> None:
         if self.session is None:
             self.session = aiohttp.ClientSession(trust_env=False)
-        async with self.session.get(self.url, params=params,
-                                    timeout=aiohttp.ClientTimeout(total=limit)) as answer:
-            answer.raise_for_status()
-            listing = read_list(await answer.json(content_type=None))
-        self.version = listing.hosts.version
-        self.told(listing)
+        asked = self.url
+        listing = await ask(self.session, asked, params, limit)
+        if asked == self.url:  # else it moved meanwhile, and its versions are others
+            self.version = listing.hosts.version
+            self.told(listing)
 
     async def attempt(self, params: dict[str, int], limit: float) -> bool:
         try:
@@ -87,9 +92,9 @@
             self.backoff.fails = 0
         return True
 
-    async def run(self) -> None:
+    async def run(self, pause: float) -> None:
         if self.version is not None:  # what is known serves meanwhile
-            await asyncio.sleep(self.backoff.start())
+            await asyncio.sleep(pause)
         while True:
             if self.version is None:
                 done = await self.attempt({}, ANSWER)
@@ -98,19 +103,25 @@
             if not done:
                 await asyncio.sleep(self.backoff.pause())
 
-    def watch(self, on: bool) -> None:
+    def watch(self, on: bool, pause: float | None = None) -> None:
         if on and self.watching is None:
-            self.watching = asyncio.get_running_loop().create_task(self.run())
+            pause = self.backoff.start() if pause is None else pause
+            self.watching = asyncio.get_running_loop().create_task(self.run(pause))
         elif not on and self.watching is not None:
             self.watching.cancel()
             self.watching = None
 
-    def move(self, address: Address) -> None:
-        """To another address: a watch begins again there, with the whole list."""
-        self.url, self.version = url(address), None
+    def move(self, address: Address, version: int | None = None) -> None:
+        """To another address: a watch begins again there, with the whole list unless that was got already."""
+        self.url, self.version = url(address), version
         if self.watching is not None:
             self.watch(False)
-            self.watch(True)
+            self.watch(True, 0.0)
+
+    async def contact(self, address: Address) -> Listing:
+        """The whole list as it is told at another address, without effect here. Raises what went wrong."""
+        async with aiohttp.ClientSession(trust_env=False) as session:
+            return await ask(session, url(address), {}, ANSWER)
 
     def fetch(self) -> None:
         task: asyncio.Task[Any] = asyncio.get_running_loop().create_task(self.attempt({}, ANSWER))
--- a/calicomast/net/gateway.py
+++ b/calicomast/net/gateway.py
@@ -9,15 +9,16 @@
 import asyncio
 import logging
 import math
+import resource
 import time
 from collections import deque
+from collections.abc import Callable
 from typing import Any
 
 from calicomast import interface as api
-from calicomast.net.bans import Bans
+from calicomast.net.bans import Bans, UnknownHost
 from calicomast.net.clients import ClientServer, Slot
-from calicomast.net.config import Config, ConfigError, reread_config
-from calicomast.net.control import Control, UnknownHost
+from calicomast.net.config import Config
 from calicomast.net.counter import Counter
 from calicomast.net.discovery import Discovery
 from calicomast.net.hosts import Attempt, Hosts
@@ -47,6 +48,12 @@
 log = logging.getLogger(__name__)
 
 
+def resident() -> int:
+    """Bytes of memory that this process has."""
+    with open("/proc/self/statm", encoding="ascii") as file:
+        return int(file.read().split()[1]) * resource.getpagesize()
+
+
 class Clock:
     """Unix time that never steps: hosts' starts and the counter's windows are told in it."""
 
@@ -114,7 +121,9 @@
         self.looking: asyncio.TimerHandle | None = None
         self.clients = ClientServer(self, 0)
         self.hosts = Hosts(config.connect_timeout, config.idle_close, 0)
-        self.control = Control(self) if config.control else None
+        self.processes = 1  # of this gateway, as far as the last look told
+        self.control: Any = None  # a Control, where operators may call
+        self.changes: Any = None  # a Changes, from the first time on that one is needed
         self.counter = Counter(config.counter, self.settings.counter_timeout) if config.counter else None
         # Where lists are pushed, asking costs nothing; else what is known need not be told again.
         known = config.known.hosts
@@ -131,6 +140,8 @@
     async def start(self) -> int:
         """Returns the port that clients connect to. Before the first of them the module knows its hosts."""
         self.lives.begin()
+        if self.config.control:
+            self.changed().begin()
         self.listed(self.config.known)
         self.look()
         self.hosts.start_checks()
@@ -139,7 +150,10 @@
         if self.settings.discovery == "push":
             self.discovery.watch(True)
         port = await self.clients.listen(*self.config.listen, self.config.inherited)
-        if self.control and self.config.control:
+        if self.config.control:
+            from calicomast.net.control import Control
+
+            self.control = Control(self)
             called = await self.control.listen(self.config.control)
             log.info("calls are taken at %s:%d", self.config.control[0], called)
         return port
@@ -147,7 +161,10 @@
     def look(self) -> None:
         """What other processes of this gateway did: they share the bans, the descriptors and the memory."""
         self.read_bans()
-        self.share(1 + self.lives.others())
+        if self.control:
+            self.changes.look()
+        self.processes = 1 + self.lives.others()
+        self.share()
         self.looking = self.loop.call_later(LOOK, self.look)
 
     def read_bans(self) -> None:
@@ -155,12 +172,15 @@
             for ban in self.bans.read().values():
                 self.ban(ban)
 
-    def share(self, processes: int) -> None:
-        sockets = self.config.sockets
-        room = max(sockets - SPARE_SOCKETS, sockets // 2) // processes
-        self.clients.most = self.hosts.most = room // 2
-        spare = self.config.memory / processes - PROCESS
-        self.clients.budget.most = max(MOST_LARGE, int(spare * BODIES))
+    def room(self, config: Config) -> tuple[int, int]:
+        """Connections of clients, and as many to hosts, and bytes of large bodies that a process may hold."""
+        sockets = max(config.sockets - SPARE_SOCKETS, config.sockets // 2) // self.processes
+        spare = config.memory / self.processes - PROCESS
+        return sockets // 2, max(MOST_LARGE, int(spare * BODIES))
+
+    def share(self) -> None:
+        self.clients.most, self.clients.budget.most = self.room(self.config)
+        self.hosts.most = self.clients.most
 
     # Events
 
@@ -408,23 +428,47 @@
 
     # Reconfiguration
 
+    def changed(self) -> Any:
+        """What brings configurations into force. The history is kept where operators can ask for it."""
+        if self.changes is None:
+            from calicomast.net.changes import Changes
+
+            self.changes = Changes(self, self.config.scratch if self.config.control else None)
+        return self.changes
+
     def reload(self) -> None:
         """After SIGHUP: to what the file says now. One that cannot be used changes nothing. Requests in work
         keep what they began with."""
-        try:
-            fresh = reread_config(self.config)
-        except ConfigError as err:
-            log.error("SIGHUP: %s; nothing changes", err)
-            return
+        self.changed().signal()
+
+    def adopt(self, fresh: Config, listing: Listing | None) -> None:
+        """Another configuration is in force from here on; `listing` is what its discovery has told."""
         last, self.config, self.settings = self.config, fresh, fresh.settings
-        log.info("SIGHUP: %d classes, %d plans, discovery at %s:%d", len(fresh.settings.classes),
-                 len(fresh.settings.plans), *fresh.discovery)
         self.hosts.retune(fresh.connect_timeout, fresh.idle_close)
         self.feed(api.Retune(fresh.settings))
         if fresh.discovery != last.discovery:
-            self.discovery.move(fresh.discovery)
+            self.discovery.move(fresh.discovery, listing.hosts.version if listing else None)
+        if listing:
+            self.listed(listing)
         if self.counter and fresh.counter:
             self.counter.retune(fresh.counter, fresh.settings.counter_timeout)
+        self.share()
+
+    def short_of(self, fresh: Config) -> str:
+        """What smaller limits would leave no room for; nothing where they are not smaller."""
+        (connections, bodies), last = self.room(fresh), self.config
+        if fresh.sockets < last.sockets:
+            for what, count in (("clients", len(self.clients.clients)), ("hosts", self.hosts.open)):
+                if count > connections:
+                    return f"{count} connections of {what} are open, {connections} may be"
+        if fresh.memory < last.memory and self.clients.budget.used > bodies:
+            return f"large bodies hold {self.clients.budget.used} bytes, {bodies} may be"
+        if fresh.memory < last.memory and (held := resident()) > fresh.memory / self.processes:
+            return f"the process has {held} bytes, {int(fresh.memory / self.processes)} may be"
+        return ""
+
+    def later(self, delay: float, act: Callable[[], None]) -> asyncio.TimerHandle:
+        return self.loop.call_later(delay, act)
 
     # Operators
 
@@ -501,6 +545,7 @@
         self.clients.close()
         if self.control:
             self.control.close()
+            self.changes.close()
         if self.looking:
             self.looking.cancel()
         self.hosts.close()
--- a/tests/netkit.py
+++ b/tests/netkit.py
@@ -3,6 +3,7 @@
 import asyncio
 import functools
 import json
+import os
 
 import hiredis
 import uvloop
@@ -71,9 +72,10 @@
     return line
 
 
-async def control(port, call):
+async def control(port, call, body=b""):
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
-    writer.write(b"%s HTTP/1.1\r\nHost: gateway\r\n\r\n" % call.encode())
+    writer.write(b"%s HTTP/1.1\r\nHost: gateway\r\n" % call.encode())
+    writer.write((b"Content-Length: %d\r\n" % len(body) if body else b"") + b"\r\n" + body)
     head, _, body = (await reader.read()).partition(b"\r\n\r\n")
     writer.close()
     return int(head.split()[1]), json.loads(body) if body and b"json" in head else {}
@@ -232,28 +234,33 @@
 
 
 class Node:
-    """A gateway with a counter and discovery of its own and the given hosts, named h1, h2 and so on."""
+    """A gateway with a counter and discovery of its own and the given hosts, named h1, h2 and so on; or one
+    more process of the same, beside another."""
 
-    def __init__(self, *hosts, path, settings=None):
-        self.hosts, self.path, self.settings = hosts, path, settings
-        self.counter, self.discovery, self.writers = StubCounter(), StubDiscovery(), []
+    def __init__(self, *hosts, path, settings=None, beside=None):
+        self.hosts, self.path, self.settings, self.beside = hosts, path, settings, beside
+        self.counter = beside.counter if beside else StubCounter()
+        self.discovery, self.writers = beside.discovery if beside else StubDiscovery(), []
 
     async def __aenter__(self):
-        await self.counter.__aenter__()
-        await self.discovery.__aenter__()
-        listed = [entry(h, f"h{n}") for n, h in enumerate(self.hosts, 1)]
-        self.discovery.servers = listed
-        file = self.path / "config.json"
-        file.write_text(json.dumps(told(listed, self.discovery.port, self.counter.port, self.settings)))
-        env = {"RELAY_CONFIG": str(file), "RELAY_CONTROL": "127.0.0.1:0", "TMPDIR": str(self.path)}
+        self.file = self.path / "config.json"
+        if not self.beside:
+            await self.counter.__aenter__()
+            await self.discovery.__aenter__()
+            listed = [entry(h, f"h{n}") for n, h in enumerate(self.hosts, 1)]
+            self.discovery.servers = listed
+            self.file.write_text(json.dumps(
+                told(listed, self.discovery.port, self.counter.port, self.settings)))
+        env = {"RELAY_CONFIG": str(self.file), "RELAY_CONTROL": "127.0.0.1:0", "TMPDIR": str(self.path)}
+        os.environ["RELAY_CONFIG"] = str(self.file)  # a signal reads the file that the environment names
         self.node = GatewayNode(read_config(env))
         self.port = await self.node.start()
         self.control_port = self.node.control.listener.sockets[0].getsockname()[1]
         return self
 
-    async def call(self, call):
+    async def call(self, call, body=b""):
         """One call on the second address, such as `GET /status`; its status and what it tells."""
-        return await control(self.control_port, call)
+        return await control(self.control_port, call, body)
 
     async def connect(self):
         reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
@@ -276,9 +283,11 @@
         self.node.clients.finish()
         self.node.clients.close()
         self.node.control.close()
+        self.node.changes.close()
         self.node.lives.end()
         self.node.hosts.close()
         self.node.counter.close()
         await self.node.discovery.close()
-        await self.discovery.__aexit__()
-        await self.counter.__aexit__()
+        if not self.beside:
+            await self.discovery.__aexit__()
+            await self.counter.__aexit__()
