--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,13 @@
+import os
+import tempfile
+from pathlib import Path
+
+import pytest
+
+
+@pytest.fixture
+def scratch(tmp_path):
+    """In memory where there is room, as $TMPDIR is in service: a rename on a busy disk may take 100 ms."""
+    shared = Path("/dev/shm")
+    with tempfile.TemporaryDirectory(dir=shared if os.access(shared, os.W_OK) else tmp_path) as folder:
+        yield Path(folder)
--- a/tests/test_net_changes.py
+++ b/tests/test_net_changes.py
@@ -5,8 +5,6 @@
 import os
 import subprocess
 import sys
-import tempfile
-from pathlib import Path
 
 import pytest
 from netkit import (
@@ -522,14 +520,6 @@
 
 # Under traffic
 
-@pytest.fixture
-def scratch(tmp_path):
-    """In memory where there is room, as $TMPDIR is in service: a rename on a busy disk may take 100 ms."""
-    shared = Path("/dev/shm")
-    with tempfile.TemporaryDirectory(dir=shared if os.access(shared, os.W_OK) else tmp_path) as folder:
-        yield Path(folder)
-
-
 @on_loop
 async def test_hundreds_of_changes_under_traffic_lose_no_request_and_mix_no_rules(scratch):
     async with (StubHost() as one, StubHost() as two,
