--- /dev/null
+++ b/calicomast/registry/core.py
@@ -0,0 +1,252 @@
+"""The list of hosts: versions, changes, watches, registrations that lapse. No I/O, no clock, no globals.
+
+Every input comes with the time, in seconds of a clock that only goes forward. What is to be told to watchers comes
+back as Answers; who asks for them encodes them. A version is a number that grows with each change; the epoch names
+one life of the service, since another life's numbers say nothing here.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import math
+from collections import deque
+from dataclasses import dataclass, field, replace
+
+STATES = ("up", "draining", "removed")
+LOG = 1000  # changes that are remembered; a watch from before them gets the whole list
+GATHER = 0.05  # s in which changes are gathered before watches are woken
+WAIT_MOST = 60.0  # s that a watch may wait
+DRAIN = 10.0  # s that a host which lapsed or went is listed as draining, before it is removed
+TTL_LEAST, TTL_MOST = 1.0, 3600.0  # s
+GUARD_PART, GUARD_SPAN = 0.3, 60.0  # of the registered hosts at most lapse within so many seconds
+LOOK = 0.25  # s between looks for hosts that lapse
+FORGET = 600.0  # s for which the incarnation of a host that went is known
+
+
+@dataclass(frozen=True, slots=True)
+class Host:
+    """An entry of the list, in the protocol's terms."""
+
+    id: str
+    addr: str
+    zone: str = ""
+    kind: str = ""
+    cell: int = 0
+    state: str = "up"
+    weight: float = 1.0
+    started_ms: int = 0
+
+
+@dataclass(slots=True)
+class Entry:
+    host: Host
+    changed: int = 0  # the version of its last change
+    ttl: float = 0.0  # 0: from the operator's file, which does not lapse
+    incarnation: int = 0
+    until: float = math.inf  # when it lapses, or is removed
+    own: bool = False  # it drains by its own word, or the file's: a renewal does not bring it back
+
+
+@dataclass(frozen=True, slots=True)
+class Watch:
+    key: object
+    index: int
+    until: float
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """For the watch `key`: what has changed since `index`, or the whole list where that is None."""
+
+    key: object
+    index: int | None
+    version: int
+    hosts: tuple[Host, ...] = field(repr=False)
+
+
+class Stale(Exception):
+    """A word of an older life of a host, or on one that is not there."""
+
+
+class Registry:
+    def __init__(self, epoch: str, first: int = 1) -> None:
+        self.epoch, self.version, self.base = epoch, first, first  # base: no change up to it is remembered
+        self.entries: dict[str, Entry] = {}
+        self.log: deque[tuple[int, str]] = deque()
+        self.gone: dict[str, tuple[int, float]] = {}  # incarnations of hosts that went, and until when
+        self.watches: dict[object, Watch] = {}
+        self.ends: list[tuple[float, int, object]] = []  # of watches
+        self.order = itertools.count()
+        self.wake_at, self.look_at = math.inf, 0.0
+        self.lapses: deque[float] = deque()  # when hosts lapsed, within the span of the guard
+        self.held: set[str] = set()  # hosts that should have lapsed and are kept by the guard
+
+    # Changes
+
+    def put(self, now: float, entry: Entry) -> None:
+        self.version += 1
+        entry.changed = self.version
+        self.entries[entry.host.id] = entry
+        self.log.append((self.version, entry.host.id))
+        while len(self.log) > LOG:
+            self.base = self.log.popleft()[0]
+        self.wake_at = min(self.wake_at, now + GATHER)
+
+    def load(self, now: float, hosts: list[Host]) -> None:
+        """The operator's file as a whole: what is not in it any longer drains and goes."""
+        named = {host.id for host in hosts}
+        for host in hosts:
+            old = self.entries.get(host.id)
+            if old is None or old.ttl or old.host != host:
+                self.put(now, Entry(host, own=host.state == "draining"))
+        for entry in [e for e in self.entries.values() if not e.ttl and e.host.id not in named]:
+            self.leave(now, entry)
+
+    def register(self, now: float, host: Host, incarnation: int, ttl: float) -> None:
+        """Raises Stale for a life that is older than the one known, or a host that the file names."""
+        old = self.entries.get(host.id)
+        if old is not None and not old.ttl and old.host.state != "removed":
+            raise Stale("the file names this host")
+        known = max(old.incarnation if old else 0, self.gone.get(host.id, (0, 0.0))[0])
+        if incarnation < known:
+            raise Stale(f"incarnation {known} is known")
+        self.gone.pop(host.id, None)
+        self.held.discard(host.id)
+        if old is not None and old.host == host and old.incarnation == incarnation:
+            old.ttl, old.until = ttl, now + ttl
+        else:
+            self.put(now, Entry(host, ttl=ttl, incarnation=incarnation, until=now + ttl))
+
+    def find(self, name: str, incarnation: int) -> Entry:
+        entry = self.entries.get(name)
+        if entry is None or not entry.ttl or entry.host.state == "removed":
+            raise Stale("not registered")
+        if entry.incarnation != incarnation:
+            raise Stale(f"incarnation {entry.incarnation} is known")
+        return entry
+
+    def renew(self, now: float, name: str, incarnation: int) -> None:
+        """Raises Stale. One that has lapsed and is not removed yet is up again."""
+        entry = self.find(name, incarnation)
+        self.held.discard(name)
+        if entry.own:
+            return
+        entry.until = now + entry.ttl
+        if entry.host.state != "up":
+            entry.host = replace(entry.host, state="up")
+            self.put(now, entry)
+
+    def drain(self, now: float, name: str, incarnation: int) -> None:
+        entry = self.find(name, incarnation)
+        if not entry.own:
+            self.leave(now, entry)
+
+    def deregister(self, now: float, name: str, incarnation: int) -> None:
+        self.remove(now, self.find(name, incarnation))
+
+    def leave(self, now: float, entry: Entry) -> None:
+        """By its own word or the file's: it drains, then it is removed."""
+        if entry.host.state == "up":
+            self.fade(now, entry)
+        elif entry.host.state == "draining":
+            entry.until = min(entry.until, now + DRAIN)
+        entry.own = True
+
+    def fade(self, now: float, entry: Entry) -> None:
+        entry.until = now + DRAIN
+        entry.host = replace(entry.host, state="draining")
+        self.put(now, entry)
+
+    def remove(self, now: float, entry: Entry) -> None:
+        entry.host, entry.until = replace(entry.host, state="removed"), math.inf
+        self.gone[entry.host.id] = (entry.incarnation, now + FORGET)
+        self.held.discard(entry.host.id)
+        self.put(now, entry)
+
+    # Time
+
+    def tick(self, now: float) -> list[Answer]:
+        """All that is due by now."""
+        if now >= self.look_at:
+            self.look_at = now + LOOK
+            self.look(now)
+        return self.wake(now)
+
+    def look(self, now: float) -> None:
+        """What lapses, what has drained, what is forgotten."""
+        for entry in [e for e in self.entries.values() if e.until <= now]:
+            if entry.host.state == "draining":
+                self.remove(now, entry)
+            elif self.may_lapse(now):
+                self.lapses.append(now)
+                self.held.discard(entry.host.id)
+                self.fade(now, entry)
+            else:
+                self.held.add(entry.host.id)
+        for name in [name for name, (_, until) in self.gone.items() if until <= now]:
+            del self.gone[name]
+            if name in self.entries and self.entries[name].host.state == "removed":
+                del self.entries[name]  # who still asks from before that gets the whole list
+                self.base = max(self.base, next((v for v, n in reversed(self.log) if n == name), 0))
+
+    def may_lapse(self, now: float) -> bool:
+        """Self-preservation: when many lapse together the fault may be between them and here, so that at most a
+        part goes within a span. One always may."""
+        while self.lapses and self.lapses[0] <= now - GUARD_SPAN:
+            self.lapses.popleft()
+        registered = sum(1 for e in self.entries.values() if e.ttl and e.host.state == "up")
+        return len(self.lapses) < max(1, math.floor(GUARD_PART * (registered + len(self.lapses))))
+
+    def due(self) -> float:
+        """When tick() is to be called next."""
+        return min(self.look_at, self.wake_at, self.ends[0][0] if self.ends else math.inf)
+
+    # Watches
+
+    def whole(self) -> tuple[Host, ...]:
+        return tuple(e.host for e in self.entries.values() if e.host.state != "removed")
+
+    def since(self, index: int) -> tuple[Host, ...] | None:
+        """What has changed since that version; None where only the whole list can tell."""
+        if not self.base <= index <= self.version:
+            return None
+        return tuple(e.host for e in self.entries.values() if e.changed > index)
+
+    def answer(self, key: object, index: int | None) -> Answer:
+        changed = None if index is None else self.since(index)
+        if changed is None:
+            return Answer(key, None, self.version, self.whole())
+        return Answer(key, index, self.version, changed)
+
+    def watch(self, now: float, key: object, index: int, wait: float, epoch: str | None) -> Answer | None:
+        """At once where there is something newer, else None and an Answer later."""
+        if (epoch is not None and epoch != self.epoch) or self.since(index) is None:
+            return self.answer(key, None)
+        if index < self.version or wait <= 0:
+            return self.answer(key, index)
+        watch = self.watches[key] = Watch(key, index, now + min(wait, WAIT_MOST))
+        heapq.heappush(self.ends, (watch.until, next(self.order), key))
+        return None
+
+    def forget(self, key: object) -> None:
+        """The watcher has gone."""
+        self.watches.pop(key, None)
+        while self.ends and self.ends[0][2] not in self.watches:
+            heapq.heappop(self.ends)
+        if len(self.ends) > 2 * len(self.watches) + 16:  # those that went are not kept until their time
+            self.ends = [end for end in self.ends if end[2] in self.watches]
+            heapq.heapify(self.ends)
+
+    def wake(self, now: float) -> list[Answer]:
+        told = []
+        if now >= self.wake_at:
+            self.wake_at = math.inf
+            told = [self.answer(w.key, w.index) for w in self.watches.values() if w.index < self.version]
+        for answer in told:
+            self.forget(answer.key)
+        while self.ends and self.ends[0][0] <= now:
+            _, _, key = heapq.heappop(self.ends)
+            if key in self.watches:
+                told.append(self.answer(key, self.watches.pop(key).index))
+        return told
--- /dev/null
+++ b/calicomast/registry/service.py
@@ -0,0 +1,214 @@
+"""The list service on its socket: HTTP in, the core's answers out. Nothing here decides."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import math
+from collections.abc import Callable, Iterable
+from dataclasses import asdict
+from time import monotonic
+from typing import Any
+
+from aiohttp import web
+
+from calicomast.net.config import ConfigError
+from calicomast.registry.config import Config, read_host, read_hosts
+from calicomast.registry.core import TTL_LEAST, TTL_MOST, Answer, Host, Registry, Stale
+
+LIST = "/v1/endpoints"
+HOSTS = "/v1/hosts/"
+TAKEN_WITHIN = 10.0  # s after which a caller that does not take its answer is given up
+MOST_BODY = 16 * 1024  # bytes of a registration
+RETRY_AFTER = "5"  # s, for a watch that finds no place
+BACKLOG = 1024
+
+log = logging.getLogger(__name__)
+
+
+class Service:
+    def __init__(self, config: Config, registry: Registry, clock: Callable[[], float] = monotonic) -> None:
+        self.config, self.registry, self.clock = config, registry, clock
+        self.server = web.Server(self.call, access_log=None, handler_cancellation=True,
+                                 client_max_size=MOST_BODY)
+        self.listener: asyncio.Server | None = None
+        self.waiting: dict[object, asyncio.Future[Answer]] = {}
+        self.encoded: dict[tuple[int | None, int], bytes] = {}  # of the version that is told now
+        self.timer: asyncio.TimerHandle | None = None
+        self.guarded = 0
+
+    async def start(self) -> int:
+        """Raises ConfigError or OSError. Returns the port."""
+        if self.config.hosts is not None:
+            self.registry.load(self.clock(), read_hosts(self.config.hosts))
+        loop = asyncio.get_running_loop()
+        self.listener = await loop.create_server(self.server, *self.config.listen, backlog=BACKLOG)
+        self.turn()
+        return self.listener.sockets[0].getsockname()[1]
+
+    def reload(self) -> None:
+        """After SIGHUP: the operator's file as it is now, whole or not at all."""
+        if self.config.hosts is None:
+            log.info("SIGHUP: there is no file of hosts")
+            return
+        try:
+            hosts = read_hosts(self.config.hosts)
+        except ConfigError as err:
+            log.error("SIGHUP: %s; nothing changes", err)
+            return
+        self.registry.load(self.clock(), hosts)
+        log.info("SIGHUP: %d hosts in the file, version %d", len(hosts), self.registry.version)
+        self.turn()
+
+    def turn(self) -> None:
+        """Hands out what the core has for those that wait, and comes back when more is due."""
+        for answer in self.registry.tick(self.clock()):
+            waiter = self.waiting.pop(answer.key, None)
+            if waiter is not None and not waiter.done():
+                waiter.set_result(answer)
+        held = len(self.registry.held)
+        if bool(held) != bool(self.guarded):
+            log.warning("self-preservation %s: %d hosts have lapsed and stay listed",
+                        "begins" if held else "ends", held)
+        self.guarded = held
+        if self.timer is not None:
+            self.timer.cancel()
+        delay = max(0.0, self.registry.due() - self.clock())
+        self.timer = asyncio.get_running_loop().call_later(delay + 0.001, self.turn)
+
+    async def call(self, request: web.BaseRequest) -> web.StreamResponse:
+        try:
+            if request.path == LIST and request.method == "GET":
+                return await self.listed(request)
+            if request.path == "/status" and request.method == "GET":
+                return web.json_response(self.status())
+            if request.path.startswith(HOSTS):
+                return await self.told(request)
+        except ValueError as err:
+            return refuse(400, str(err))
+        except Stale as err:
+            return refuse(409, str(err))
+        except web.HTTPException as err:  # a body that is too large
+            return refuse(err.status, err.reason)
+        return refuse(404, "no such call")
+
+    # The list
+
+    async def listed(self, request: web.BaseRequest) -> web.StreamResponse:
+        query = request.query
+        if set(query) - {"index", "wait", "epoch"}:
+            raise ValueError("the query may hold index, wait and epoch")
+        if "index" not in query:
+            answer = self.registry.answer(None, None)
+        else:
+            index = whole("index", query["index"])
+            wait = min(whole("wait", query.get("wait", "0")), 2 ** 31) / 1000
+            answer = await self.watch(index, wait, query.get("epoch"))
+        return web.Response(body=self.encode(answer), content_type="application/json")
+
+    async def watch(self, index: int, wait: float, epoch: str | None) -> Answer:
+        if len(self.waiting) >= self.config.watchers and wait > 0:
+            raise web.HTTPServiceUnavailable(reason="too many watches")
+        key = object()
+        answer = self.registry.watch(self.clock(), key, index, wait, epoch)
+        if answer is not None:
+            return answer
+        waiter = self.waiting[key] = asyncio.get_running_loop().create_future()
+        self.turn()
+        try:
+            return await waiter
+        finally:  # also where the watcher has gone
+            self.waiting.pop(key, None)
+            self.registry.forget(key)
+
+    def encode(self, answer: Answer) -> bytes:
+        """Many watches get the same answer, which is made once."""
+        at = answer.index, answer.version
+        if at not in self.encoded:
+            if any(version != answer.version for _, version in self.encoded):
+                self.encoded.clear()
+            self.encoded[at] = json.dumps({
+                "version": answer.version, "full": answer.index is None, "epoch": self.registry.epoch,
+                "servers": [asdict(host) for host in answer.hosts]}).encode()
+        return self.encoded[at]
+
+    # Hosts that register themselves
+
+    async def told(self, request: web.BaseRequest) -> web.Response:
+        name, _, act = request.path[len(HOSTS):].partition("/")
+        now, registry = self.clock(), self.registry
+        if request.method == "PUT" and not act:
+            host, incarnation, ttl = read_registration(name, await request.read())
+            registry.register(self.clock(), host, incarnation, ttl)
+        elif request.method == "POST" and act == "renew":
+            registry.renew(now, name, incarnation_of(request))
+        elif request.method == "POST" and act == "drain":
+            registry.drain(now, name, incarnation_of(request))
+        elif request.method == "DELETE" and not act:
+            registry.deregister(now, name, incarnation_of(request))
+        else:
+            return refuse(405, "PUT or DELETE a host, or POST its renew or drain")
+        self.turn()
+        return web.json_response({"version": registry.version, "epoch": registry.epoch})
+
+    def status(self) -> dict[str, Any]:
+        entries = self.registry.entries.values()
+        return {"epoch": self.registry.epoch, "version": self.registry.version,
+                "hosts": {state: count(entries, state) for state in ("up", "draining", "removed")},
+                "registered": sum(1 for e in entries if e.ttl and e.host.state != "removed"),
+                "watches": len(self.waiting), "self_preservation": sorted(self.registry.held)}
+
+    async def close(self) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+        if self.listener is not None:
+            self.listener.close()
+        await self.server.shutdown(0.5)
+
+
+def count(entries: Iterable[Any], state: str) -> int:
+    return sum(1 for entry in entries if entry.host.state == state)
+
+
+def refuse(status: int, reason: str) -> web.Response:
+    headers = {"Retry-After": RETRY_AFTER} if status == 503 else {}
+    return web.json_response({"error": reason}, status=status, headers=headers)
+
+
+def whole(name: str, text: str) -> int:
+    if not (text.isascii() and text.isdecimal()) or len(text) > 18:
+        raise ValueError(f"{name} must be a whole number of 0 or more")
+    return int(text)
+
+
+def incarnation_of(request: web.BaseRequest) -> int:
+    if set(request.query) != {"incarnation"}:
+        raise ValueError("the query must hold incarnation")
+    return whole("incarnation", request.query["incarnation"])
+
+
+def read_registration(name: str, body: bytes) -> tuple[Host, int, float]:
+    try:
+        told = json.loads(body)
+    except (ValueError, RecursionError) as err:
+        raise ValueError(f"no JSON: {' '.join(str(err).split())}") from err
+    if not isinstance(told, dict):
+        raise ValueError("a registration must be an object")
+    incarnation, ttl = told.pop("incarnation", None), told.pop("ttl_ms", None)
+    if type(incarnation) is not int or not 0 <= incarnation < 2 ** 53:
+        raise ValueError("incarnation must be a whole number that grows with each life of the host")
+    if type(ttl) is not int or not TTL_LEAST * 1000 <= ttl <= TTL_MOST * 1000:
+        raise ValueError(f"ttl_ms must be a whole number from {TTL_LEAST * 1000:.0f} to {TTL_MOST * 1000:.0f}")
+    unknown = set(told) - set(Host.__dataclass_fields__)
+    if unknown:
+        raise ValueError(f"no such key: {min(unknown)[:80]!r}")
+    if told.get("state", "up") != "up":
+        raise ValueError("a host registers as up; it drains by a call of its own")
+    if not math.isfinite(told.get("weight", 1.0) if is_number(told.get("weight", 1.0)) else math.nan):
+        raise ValueError("weight must be a number above 0")
+    return read_host(told, name), incarnation, ttl / 1000
+
+
+def is_number(value: Any) -> bool:
+    return isinstance(value, int | float) and not isinstance(value, bool)
