A list service of the project's own that speaks the protocol of discovery

Operators have no list service of their own beside the platform's. python -m calicomast.registry serves the list in the protocol's form: whole and partial answers, watches that are woken once for many changes, an operator's file that SIGHUP rereads, registrations with incarnation and lapse, and a bound on how many lapse together. Nothing of it is in a gateway.

--- a/calicomast/net/control.py
+++ b/calicomast/net/control.py
@@ -12,6 +12,7 @@
 from aiohttp import web
 
 from calicomast.net.bans import UnknownHost
+from calicomast.net.calls import read_body
 from calicomast.net.changes import CONFIRM_LEAST, CONFIRM_MOST, Refused
 from calicomast.net.keys import MOST_BODY, MOST_TOLD, is_number
 from calicomast.net.listing import Address
@@ -20,7 +21,6 @@
 CALL_WITHIN = 6.0  # s after which a connection ends, with or without a call
 BACKLOG = 64
 BODY_WITHIN = 2.0  # s for a body to come
-CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 log = logging.getLogger(__name__)
 
@@ -118,14 +118,14 @@
     async def check(self, request: web.BaseRequest) -> Answer:
         names(request)
         changes = self.node.changes
-        tree = changes.check(await body(request))
+        tree = changes.check(await read_body(request, MOST_BODY, BODY_WITHIN))
         rows = changes.differences(tree)
         return 200, {"changes": rows[:MOST_TOLD], "more": max(0, len(rows) - MOST_TOLD)}
 
     async def apply(self, request: web.BaseRequest) -> Answer:
         expect, within = names(request, "expect", maybe="confirm_within")
-        told = await self.node.changes.apply(await body(request), whole("expect", expect), span(within))
-        return 200, told
+        body = await read_body(request, MOST_BODY, BODY_WITHIN)
+        return 200, await self.node.changes.apply(body, whole("expect", expect), span(within))
 
     def confirm(self, request: web.BaseRequest) -> Answer:
         return 200, self.node.changes.confirm(whole("version", names(request, "version")[0]))
@@ -166,14 +166,3 @@
     if not is_number(value) or not CONFIRM_LEAST <= value <= CONFIRM_MOST:
         raise ValueError(f"confirm_within must be {CONFIRM_LEAST:.0f} to {CONFIRM_MOST:.0f} seconds")
     return value
-
-
-async def body(request: web.BaseRequest) -> bytes:
-    """All of it, or so much that it is known to be too large. Raises TimeoutError where it does not come."""
-    if request.headers.get("Expect", "").lower() == "100-continue" and request.transport is not None:
-        request.transport.write(CONTINUE)
-    read = bytearray()
-    async with asyncio.timeout(BODY_WITHIN):
-        while len(read) <= MOST_BODY and (piece := await request.content.readany()):
-            read += piece
-    return bytes(read)
--- a/calicomast/registry/config.py
+++ b/calicomast/registry/config.py
@@ -35,11 +35,12 @@
         watchers = told.get("watchers", WATCHERS)
         if type(watchers) is not int or watchers < 1:
             raise ValueError(f"watchers is {watchers!r}, not a whole number of 1 or more")
-        return Config(read_address(told["listen"]), Path(told["hosts"]) if told.get("hosts") else None, watchers)
+        hosts = told.get("hosts")
+        return Config(read_address(told["listen"]), Path(hosts) if hosts else None, watchers)
 
 
 def read_hosts(path: Path) -> list[Host]:
-    """The operator's file: {"servers": [...]} in the protocol's form. Raises ConfigError, whole or not at all."""
+    """The operator's file, {"servers": [...]} in the protocol's form, as a whole. Raises ConfigError."""
     with in_one_line(str(path)), open(path, encoding="utf-8") as file:
         hosts = [read_host(entry) for entry in json.load(file)["servers"]]
         if len({host.id for host in hosts}) < len(hosts):
--- a/calicomast/registry/core.py
+++ b/calicomast/registry/core.py
@@ -1,8 +1,8 @@
 """The list of hosts: versions, changes, watches, registrations that lapse. No I/O, no clock, no globals.
 
-Every input comes with the time, in seconds of a clock that only goes forward. What is to be told to watchers comes
-back as Answers; who asks for them encodes them. A version is a number that grows with each change; the epoch names
-one life of the service, since another life's numbers say nothing here.
+Every input comes with the time, in seconds of a clock that only goes forward. What is to be told to watchers
+comes back as Answers; who asks for them encodes them. A version is a number that grows with each change; the
+epoch names one life of the service, since another life's numbers say nothing here.
 """
 
 from __future__ import annotations
@@ -10,18 +10,17 @@
 import heapq
 import itertools
 import math
-from collections import deque
 from dataclasses import dataclass, field, replace
 
 STATES = ("up", "draining", "removed")
-LOG = 1000  # changes that are remembered; a watch from before them gets the whole list
+MOST_GONE = 1000  # hosts that went and are remembered; a watch from before that gets the whole list
 GATHER = 0.05  # s in which changes are gathered before watches are woken
 WAIT_MOST = 60.0  # s that a watch may wait
 DRAIN = 10.0  # s that a host which lapsed or went is listed as draining, before it is removed
 TTL_LEAST, TTL_MOST = 1.0, 3600.0  # s
 GUARD_PART, GUARD_SPAN = 0.3, 60.0  # of the registered hosts at most lapse within so many seconds
 LOOK = 0.25  # s between looks for hosts that lapse
-FORGET = 600.0  # s for which the incarnation of a host that went is known
+FORGET = 600.0  # s for which a host that went is remembered, with its incarnation
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,15 +70,15 @@
 
 class Registry:
     def __init__(self, epoch: str, first: int = 1) -> None:
-        self.epoch, self.version, self.base = epoch, first, first  # base: no change up to it is remembered
-        self.entries: dict[str, Entry] = {}
-        self.log: deque[tuple[int, str]] = deque()
-        self.gone: dict[str, tuple[int, float]] = {}  # incarnations of hosts that went, and until when
+        self.epoch, self.version = epoch, first
+        self.base = first  # changes since an older version cannot be told
+        self.entries: dict[str, Entry] = {}  # each with its last change, so that they are the log as well
+        self.gone: dict[str, None] = {}  # hosts that went, in that order
         self.watches: dict[object, Watch] = {}
         self.ends: list[tuple[float, int, object]] = []  # of watches
         self.order = itertools.count()
         self.wake_at, self.look_at = math.inf, 0.0
-        self.lapses: deque[float] = deque()  # when hosts lapsed, within the span of the guard
+        self.lapses: dict[str, float] = {}  # when hosts lapsed that are not back, within the guard's span
         self.held: set[str] = set()  # hosts that should have lapsed and are kept by the guard
 
     # Changes
@@ -88,9 +87,6 @@
         self.version += 1
         entry.changed = self.version
         self.entries[entry.host.id] = entry
-        self.log.append((self.version, entry.host.id))
-        while len(self.log) > LOG:
-            self.base = self.log.popleft()[0]
         self.wake_at = min(self.wake_at, now + GATHER)
 
     def load(self, now: float, hosts: list[Host]) -> None:
@@ -99,6 +95,7 @@
         for host in hosts:
             old = self.entries.get(host.id)
             if old is None or old.ttl or old.host != host:
+                self.back(host.id)
                 self.put(now, Entry(host, own=host.state == "draining"))
         for entry in [e for e in self.entries.values() if not e.ttl and e.host.id not in named]:
             self.leave(now, entry)
@@ -108,11 +105,9 @@
         old = self.entries.get(host.id)
         if old is not None and not old.ttl and old.host.state != "removed":
             raise Stale("the file names this host")
-        known = max(old.incarnation if old else 0, self.gone.get(host.id, (0, 0.0))[0])
-        if incarnation < known:
-            raise Stale(f"incarnation {known} is known")
-        self.gone.pop(host.id, None)
-        self.held.discard(host.id)
+        if old is not None and incarnation < old.incarnation:
+            raise Stale(f"incarnation {old.incarnation} is known")
+        self.back(host.id)
         if old is not None and old.host == host and old.incarnation == incarnation:
             old.ttl, old.until = ttl, now + ttl
         else:
@@ -129,7 +124,7 @@
     def renew(self, now: float, name: str, incarnation: int) -> None:
         """Raises Stale. One that has lapsed and is not removed yet is up again."""
         entry = self.find(name, incarnation)
-        self.held.discard(name)
+        self.back(name)
         if entry.own:
             return
         entry.until = now + entry.ttl
@@ -137,6 +132,12 @@
             entry.host = replace(entry.host, state="up")
             self.put(now, entry)
 
+    def back(self, name: str) -> None:
+        """It has been heard of."""
+        self.gone.pop(name, None)
+        self.held.discard(name)
+        self.lapses.pop(name, None)
+
     def drain(self, now: float, name: str, incarnation: int) -> None:
         entry = self.find(name, incarnation)
         if not entry.own:
@@ -159,10 +160,17 @@
         self.put(now, entry)
 
     def remove(self, now: float, entry: Entry) -> None:
-        entry.host, entry.until = replace(entry.host, state="removed"), math.inf
-        self.gone[entry.host.id] = (entry.incarnation, now + FORGET)
+        entry.host, entry.until = replace(entry.host, state="removed"), now + FORGET
         self.held.discard(entry.host.id)
+        self.gone[entry.host.id] = None
         self.put(now, entry)
+        if len(self.gone) > MOST_GONE:
+            self.drop(next(iter(self.gone)))
+
+    def drop(self, name: str) -> None:
+        """Of what is not remembered those that ask from before it cannot be told: they get the whole list."""
+        del self.gone[name]
+        self.base = max(self.base, self.entries.pop(name).changed)
 
     # Time
 
@@ -176,25 +184,22 @@
     def look(self, now: float) -> None:
         """What lapses, what has drained, what is forgotten."""
         for entry in [e for e in self.entries.values() if e.until <= now]:
-            if entry.host.state == "draining":
+            if entry.host.state == "removed":
+                if entry.host.id in self.gone:  # the removal of another one may have dropped it
+                    self.drop(entry.host.id)
+            elif entry.host.state == "draining":
                 self.remove(now, entry)
             elif self.may_lapse(now):
-                self.lapses.append(now)
+                self.lapses[entry.host.id] = now
                 self.held.discard(entry.host.id)
                 self.fade(now, entry)
             else:
                 self.held.add(entry.host.id)
-        for name in [name for name, (_, until) in self.gone.items() if until <= now]:
-            del self.gone[name]
-            if name in self.entries and self.entries[name].host.state == "removed":
-                del self.entries[name]  # who still asks from before that gets the whole list
-                self.base = max(self.base, next((v for v, n in reversed(self.log) if n == name), 0))
 
     def may_lapse(self, now: float) -> bool:
-        """Self-preservation: when many lapse together the fault may be between them and here, so that at most a
-        part goes within a span. One always may."""
-        while self.lapses and self.lapses[0] <= now - GUARD_SPAN:
-            self.lapses.popleft()
+        """Self-preservation: when many lapse together the fault may be between them and here, so that at most
+        a part goes within a span. One always may."""
+        self.lapses = {name: at for name, at in self.lapses.items() if at > now - GUARD_SPAN}
         registered = sum(1 for e in self.entries.values() if e.ttl and e.host.state == "up")
         return len(self.lapses) < max(1, math.floor(GUARD_PART * (registered + len(self.lapses))))
 
--- a/calicomast/registry/service.py
+++ b/calicomast/registry/service.py
@@ -13,6 +13,7 @@
 
 from aiohttp import web
 
+from calicomast.net.calls import hand_out, read_body
 from calicomast.net.config import ConfigError
 from calicomast.registry.config import Config, read_host, read_hosts
 from calicomast.registry.core import TTL_LEAST, TTL_MOST, Answer, Host, Registry, Stale
@@ -21,6 +22,7 @@
 HOSTS = "/v1/hosts/"
 TAKEN_WITHIN = 10.0  # s after which a caller that does not take its answer is given up
 MOST_BODY = 16 * 1024  # bytes of a registration
+BODY_WITHIN = 2.0  # s for it to come
 RETRY_AFTER = "5"  # s, for a watch that finds no place
 BACKLOG = 1024
 
@@ -30,8 +32,7 @@
 class Service:
     def __init__(self, config: Config, registry: Registry, clock: Callable[[], float] = monotonic) -> None:
         self.config, self.registry, self.clock = config, registry, clock
-        self.server = web.Server(self.call, access_log=None, handler_cancellation=True,
-                                 client_max_size=MOST_BODY)
+        self.server = web.Server(self.call, access_log=None, handler_cancellation=True)
         self.listener: asyncio.Server | None = None
         self.waiting: dict[object, asyncio.Future[Answer]] = {}
         self.encoded: dict[tuple[int | None, int], bytes] = {}  # of the version that is told now
@@ -77,7 +78,12 @@
         delay = max(0.0, self.registry.due() - self.clock())
         self.timer = asyncio.get_running_loop().call_later(delay + 0.001, self.turn)
 
-    async def call(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def call(self, request: web.BaseRequest) -> web.Response:
+        answer = await self.answer(request)
+        await hand_out(request, answer, TAKEN_WITHIN)
+        return answer
+
+    async def answer(self, request: web.BaseRequest) -> web.Response:
         try:
             if request.path == LIST and request.method == "GET":
                 return await self.listed(request)
@@ -89,13 +95,13 @@
             return refuse(400, str(err))
         except Stale as err:
             return refuse(409, str(err))
-        except web.HTTPException as err:  # a body that is too large
-            return refuse(err.status, err.reason)
+        except TimeoutError:
+            return refuse(408, f"no whole body within {BODY_WITHIN:.0f} s")
         return refuse(404, "no such call")
 
     # The list
 
-    async def listed(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def listed(self, request: web.BaseRequest) -> web.Response:
         query = request.query
         if set(query) - {"index", "wait", "epoch"}:
             raise ValueError("the query may hold index, wait and epoch")
@@ -104,12 +110,12 @@
         else:
             index = whole("index", query["index"])
             wait = min(whole("wait", query.get("wait", "0")), 2 ** 31) / 1000
+            if len(self.waiting) >= self.config.watchers and wait > 0:
+                return refuse(503, "too many watches")
             answer = await self.watch(index, wait, query.get("epoch"))
         return web.Response(body=self.encode(answer), content_type="application/json")
 
     async def watch(self, index: int, wait: float, epoch: str | None) -> Answer:
-        if len(self.waiting) >= self.config.watchers and wait > 0:
-            raise web.HTTPServiceUnavailable(reason="too many watches")
         key = object()
         answer = self.registry.watch(self.clock(), key, index, wait, epoch)
         if answer is not None:
@@ -139,7 +145,10 @@
         name, _, act = request.path[len(HOSTS):].partition("/")
         now, registry = self.clock(), self.registry
         if request.method == "PUT" and not act:
-            host, incarnation, ttl = read_registration(name, await request.read())
+            body = await read_body(request, MOST_BODY, BODY_WITHIN)
+            if len(body) > MOST_BODY:
+                return refuse(413, f"a registration takes {MOST_BODY} bytes at most")
+            host, incarnation, ttl = read_registration(name, body)
             registry.register(self.clock(), host, incarnation, ttl)
         elif request.method == "POST" and act == "renew":
             registry.renew(now, name, incarnation_of(request))
@@ -199,7 +208,7 @@
     if type(incarnation) is not int or not 0 <= incarnation < 2 ** 53:
         raise ValueError("incarnation must be a whole number that grows with each life of the host")
     if type(ttl) is not int or not TTL_LEAST * 1000 <= ttl <= TTL_MOST * 1000:
-        raise ValueError(f"ttl_ms must be a whole number from {TTL_LEAST * 1000:.0f} to {TTL_MOST * 1000:.0f}")
+        raise ValueError(f"ttl_ms must be a whole number, {TTL_LEAST * 1000:.0f} to {TTL_MOST * 1000:.0f}")
     unknown = set(told) - set(Host.__dataclass_fields__)
     if unknown:
         raise ValueError(f"no such key: {min(unknown)[:80]!r}")
--- /dev/null
+++ b/tests/test_registry_service.py
@@ -0,0 +1,258 @@
+"""The list service on loopback: the protocol of discovery, registrations, a gateway that runs against it."""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+from pathlib import Path
+
+import aiohttp
+import pytest
+from netkit import SERVED, Node, StubHost, command, entry, on_loop, until
+
+from calicomast.registry import service as module
+from calicomast.registry.config import Config
+from calicomast.registry.core import Registry
+from calicomast.registry.service import Service
+
+ROOT = Path(__file__).resolve().parent.parent
+PROGRAM = [sys.executable, "-B", "-m", "calicomast.registry"]
+
+
+class Serving:
+    """The service on a free port, and a session that calls it."""
+
+    def __init__(self, path=None, hosts=(), watchers=1000, first=41):
+        self.file, self.hosts = path and path / "hosts.json", hosts
+        self.watchers, self.first = watchers, first
+
+    async def __aenter__(self):
+        if self.file:
+            self.file.write_text(json.dumps({"servers": list(self.hosts)}))
+        self.service = Service(Config(("127.0.0.1", 0), self.file, self.watchers), Registry("e1", self.first))
+        self.port = await self.service.start()
+        self.session = aiohttp.ClientSession(f"http://127.0.0.1:{self.port}", trust_env=False)
+        return self
+
+    async def call(self, method, path, told=None, raw=None):
+        body = raw if raw is not None else json.dumps(told).encode() if told is not None else None
+        async with self.session.request(method, path, data=body) as answer:
+            return answer.status, await answer.json(content_type=None)
+
+    async def list(self, query=""):
+        return (await self.call("GET", "/v1/endpoints" + query))[1]
+
+    async def register(self, name, **kw):
+        told = {"addr": "127.0.0.1:6379", "incarnation": 1, "ttl_ms": 30_000} | kw
+        return await self.call("PUT", f"/v1/hosts/{name}", told)
+
+    async def __aexit__(self, *_):
+        await self.session.close()
+        await self.service.close()
+
+
+ONE = {"id": "s-1", "addr": "10.1.0.18:6379", "zone": "a", "kind": "m2", "cell": 3, "state": "up",
+       "weight": 1.0, "started_ms": 7}
+
+
+@on_loop
+async def test_the_list_has_the_form_of_the_protocol(tmp_path):
+    async with Serving(tmp_path, [ONE]) as serving:
+        assert await serving.list() == {"version": 42, "full": True, "epoch": "e1", "servers": [ONE]}
+        assert await serving.list("?index=42&wait=1") == {
+            "version": 42, "full": False, "epoch": "e1", "servers": []}
+        watch = asyncio.create_task(serving.list("?index=42&wait=20000"))
+        await until(lambda: serving.service.waiting)
+        serving.file.write_text(json.dumps({"servers": [ONE | {"state": "draining"}]}))
+        serving.service.reload()
+        assert await watch == {"version": 43, "full": False, "epoch": "e1",
+                               "servers": [ONE | {"state": "draining"}]}
+        assert (await serving.list("?index=42&wait=0&epoch=e0"))["full"] is True
+        assert not serving.service.waiting and not serving.service.registry.watches
+
+
+@on_loop
+async def test_a_host_registers_renews_drains_and_goes():
+    async with Serving() as serving:
+        assert await serving.register("s-9", zone="b") == (200, {"version": 42, "epoch": "e1"})
+        assert [h["id"] for h in (await serving.list())["servers"]] == ["s-9"]
+        assert (await serving.call("POST", "/v1/hosts/s-9/renew?incarnation=1"))[0] == 200
+        assert (await serving.call("POST", "/v1/hosts/s-9/renew?incarnation=0"))[0] == 409
+        assert (await serving.call("POST", "/v1/hosts/s-9/drain?incarnation=1"))[0] == 200
+        assert [h["state"] for h in (await serving.list())["servers"]] == ["draining"]
+        assert (await serving.call("DELETE", "/v1/hosts/s-9?incarnation=1"))[0] == 200
+        assert (await serving.list())["servers"] == []
+        assert [h["state"] for h in (await serving.list("?index=43"))["servers"]] == ["removed"]
+        assert (await serving.call("GET", "/status"))[1]["hosts"] == {"up": 0, "draining": 0, "removed": 1}
+
+
+@pytest.mark.parametrize("call, body, status, word", [
+    ("GET /v1/endpoints?index=x", None, 400, "index"), ("GET /v1/endpoints?index=-1", None, 400, "index"),
+    ("GET /v1/endpoints?index=" + "9" * 30, None, 400, "index"),
+    ("GET /v1/endpoints?more=1", None, 400, "hold"),
+    ("GET /v1/endpoints?index=1&wait=x", None, 400, "wait"), ("GET /else", None, 404, "no such"),
+    ("POST /v1/endpoints", None, 404, "no such"), ("GET /v1/hosts/h", None, 405, "PUT"),
+    ("POST /v1/hosts/h/renew", None, 400, "incarnation"), ("POST /v1/hosts/h/dance", None, 405, "PUT"),
+    ("POST /v1/hosts/h/renew?incarnation=x", None, 400, "incarnation"),
+    ("POST /v1/hosts/h/renew?incarnation=1", None, 409, "registered"),
+    ("PUT /v1/hosts/h", b"", 400, "JSON"), ("PUT /v1/hosts/h", b"[" * 9000, 400, "JSON"),
+    ("PUT /v1/hosts/h", b"[]", 400, "object"), ("PUT /v1/hosts/h", b" " * 20_000, 413, "bytes"),
+    ("PUT /v1/hosts/h", {"addr": None}, 400, "addr"), ("PUT /v1/hosts/h", {"addr": "x"}, 400, "HOST:PORT"),
+    ("PUT /v1/hosts/h", {"ttl_ms": 1}, 400, "ttl_ms"), ("PUT /v1/hosts/h", {"ttl_ms": "9000"}, 400, "ttl_ms"),
+    ("PUT /v1/hosts/h", {"incarnation": -1}, 400, "incarnation"),
+    ("PUT /v1/hosts/h", {"id": "g"}, 400, "names"),
+    ("PUT /v1/hosts/h", {"incarnation": True}, 400, "incarnation"),
+    ("PUT /v1/hosts/h", {"weight": 0}, 400, "weight"), ("PUT /v1/hosts/h", {"weight": 1e999}, 400, "weight"),
+    ("PUT /v1/hosts/h", {"weight": float("nan")}, 400, "weight"),
+    ("PUT /v1/hosts/h", {"cell": 1.5}, 400, "cell"),
+    ("PUT /v1/hosts/h", {"started_ms": -1}, 400, "started_ms"), ("PUT /v1/hosts/h", {"zone": 5}, 400, "zone"),
+    ("PUT /v1/hosts/h", {"state": "draining"}, 400, "up"), ("PUT /v1/hosts/h", {"more": 1}, 400, "more"),
+    ("PUT /v1/hosts/" + "h" * 200, {}, 400, "id"),
+])
+@on_loop
+async def test_what_is_malformed_is_refused_with_the_reason(call, body, status, word):
+    async with Serving() as serving:
+        method, path = call.split()
+        if isinstance(body, dict):
+            body = json.dumps({"addr": "127.0.0.1:1", "incarnation": 1, "ttl_ms": 5000} | body).encode()
+        got, answer = await serving.call(method, path, raw=body)
+        assert got == status and word in answer["error"], answer
+        assert serving.service.registry.version == 41
+
+
+@on_loop
+async def test_absurd_waits_are_capped_and_too_many_watches_are_told_to_come_back():
+    async with Serving(watchers=3) as serving:
+        watches = [asyncio.create_task(serving.list(f"?index=41&wait={'9' * 17}")) for _ in range(3)]
+        await until(lambda: len(serving.service.waiting) == 3)
+        assert all(w.until < serving.service.clock() + 61 for w in serving.service.registry.watches.values())
+        async with serving.session.get("/v1/endpoints?index=41&wait=5000") as answer:
+            assert answer.status == 503 and answer.headers["Retry-After"]
+        assert (await serving.list("?index=41&wait=0"))["servers"] == []  # what does not wait is answered
+        await serving.register("s-1")
+        assert [len((await w)["servers"]) for w in watches] == [1, 1, 1]
+
+
+@on_loop
+async def test_watchers_that_vanish_leave_their_places():
+    async with Serving() as serving:
+        for _ in range(20):
+            _, writer = await asyncio.open_connection("127.0.0.1", serving.port)
+            writer.write(b"GET /v1/endpoints?index=41&wait=60000 HTTP/1.1\r\nHost: x\r\n\r\n")
+            await until(lambda: serving.service.waiting)
+            writer.transport.abort()
+            await until(lambda: not serving.service.waiting)
+        assert not serving.service.registry.watches and not serving.service.registry.ends
+
+
+@on_loop
+async def test_a_slow_watcher_holds_up_nobody_and_is_given_up(tmp_path, monkeypatch):
+    monkeypatch.setattr(module, "TAKEN_WITHIN", 0.3)
+    many = [ONE | {"id": f"s-{n}", "kind": "k" * 120} for n in range(20_000)]
+    async with Serving(tmp_path, many) as serving:
+        slow = socket.socket()
+        slow.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        slow.connect(("127.0.0.1", serving.port))
+        slow.send(b"GET /v1/endpoints HTTP/1.1\r\nHost: x\r\n\r\n")
+        await until(lambda: serving.service.encoded)
+        assert (await serving.call("GET", "/status"))[0] == 200
+        assert len(serving.service.server.connections) == 2
+        await until(lambda: len(serving.service.server.connections) == 1)  # only the other one's is left
+        slow.close()
+
+
+@on_loop
+async def test_four_hundred_watches_at_one_change_get_one_encoding():
+    async with Serving() as serving:
+        connector = aiohttp.TCPConnector(limit=0)
+        async with aiohttp.ClientSession(connector=connector, trust_env=False) as session:
+            async def watch():
+                url = f"http://127.0.0.1:{serving.port}/v1/endpoints?index=41&wait=30000"
+                async with session.get(url) as answer:
+                    return await answer.json()
+
+            watches = [asyncio.create_task(watch()) for _ in range(400)]
+            await until(lambda: len(serving.service.waiting) == 400)
+            for n in range(5):
+                await serving.register(f"s-{n}")
+            told = await asyncio.gather(*watches)
+        assert all(len(answer["servers"]) == 5 for answer in told)
+        assert list(serving.service.encoded) == [(41, 46)]
+
+
+@on_loop
+async def test_a_broken_file_changes_nothing(tmp_path, caplog):
+    async with Serving(tmp_path, [ONE]) as serving:
+        bad = [json.dumps({"servers": servers})
+               for servers in (5, [{}], [ONE, ONE], [ONE | {"state": "gone"}], [ONE, 5])]
+        for text in ("", "{", "[]", "{}", *bad):
+            serving.file.write_text(text)
+            caplog.clear()
+            serving.service.reload()
+            assert "nothing changes" in caplog.text
+        serving.file.unlink()
+        serving.service.reload()
+        assert (await serving.list())["servers"] == [ONE] and serving.service.registry.version == 42
+
+
+@on_loop
+async def test_a_gateway_runs_against_it(tmp_path):
+    async with StubHost() as host, StubHost() as other, Serving() as serving:
+        await serving.register("h1", addr=f"127.0.0.1:{host.port}", zone="a")
+        async with Node(path=tmp_path) as node:
+            tree = json.loads(node.file.read_text()) | {"discovery": f"127.0.0.1:{serving.port}"}
+            node.file.write_text(json.dumps(tree))
+            node.node.reload()
+            await until(lambda: list(node.node.hosts.pools) == ["h1"])
+            assert await node.ask(command(b"a")) == SERVED
+            await serving.register("h2", addr=f"127.0.0.1:{other.port}")
+            await until(lambda: len(node.node.hosts.pools) == 2)
+            assert (await serving.call("POST", "/v1/hosts/h1/drain?incarnation=1"))[0] == 200
+            await until(lambda: list(node.node.hosts.pools) == ["h2"])
+            assert await node.ask(command(b"b")) == SERVED
+
+
+# The program
+
+def start(tmp_path, told, **kw):
+    (tmp_path / "registry.json").write_text(told if isinstance(told, str) else json.dumps(told))
+    env = {**os.environ, "REGISTRY_CONFIG": str(tmp_path / "registry.json")}
+    return subprocess.run(PROGRAM, cwd=ROOT, env=env, capture_output=True, text=True, timeout=60, **kw)
+
+
+@pytest.mark.parametrize("told, word", [
+    ("", "Expecting"), ("[]", "list"), ({}, "listen"), ({"listen": "nowhere"}, "HOST:PORT"),
+    ({"listen": "127.0.0.1:0", "more": 1}, "more"), ({"listen": "127.0.0.1:0", "watchers": 0}, "watchers"),
+    ({"listen": "127.0.0.1:0", "hosts": "/none/there.json"}, "No such file"),
+])
+def test_a_bad_configuration_is_one_plain_line_and_status_2(told, word, tmp_path):
+    ended = start(tmp_path, told)
+    assert ended.returncode == 2 and ended.stderr.startswith("calicomast.registry: ")
+    assert ended.stderr.count("\n") == 1 and word in ended.stderr
+
+
+@on_loop
+async def test_the_program_serves_rereads_its_file_and_ends(tmp_path):
+    hosts = tmp_path / "hosts.json"
+    hosts.write_text(json.dumps({"servers": [ONE]}))
+    (tmp_path / "registry.json").write_text(json.dumps({"listen": "127.0.0.1:0", "hosts": str(hosts)}))
+    program = await asyncio.create_subprocess_exec(
+        *PROGRAM, cwd=ROOT, env={**os.environ, "REGISTRY_CONFIG": str(tmp_path / "registry.json")},
+        stderr=subprocess.PIPE)
+    port = int((await program.stderr.readline()).decode().rsplit(":", 1)[1])
+    async with aiohttp.ClientSession(trust_env=False) as session:
+        url = f"http://127.0.0.1:{port}/v1/endpoints"
+        async with session.get(url) as answer:
+            first = await answer.json()
+        assert first["servers"] == [ONE]
+        hosts.write_text(json.dumps({"servers": [entry(None, "s-2", port=9)]}))
+        program.send_signal(signal.SIGHUP)
+        assert b"1 hosts in the file" in await program.stderr.readline()
+        async with session.get(f"{url}?index={first['version']}&wait=5000") as answer:
+            told = await answer.json()
+        assert {(h["id"], h["state"]) for h in told["servers"]} == {("s-1", "draining"), ("s-2", "up")}
+    program.terminate()
+    assert await program.wait() == 0
