Test that a reader which takes nothing is given up by the service, not by chance

With the abort taken out the test still passed after 15 s, by the server's own limit. It now allows 8 s, where 0.3 s are set: 0.5 s with the abort, a failure without it.

--- a/tests/test_registry_service.py
+++ b/tests/test_registry_service.py
@@ -160,7 +160,8 @@
         await until(lambda: serving.service.encoded)
         assert (await serving.call("GET", "/status"))[0] == 200
         assert len(serving.service.server.connections) == 2
-        await until(lambda: len(serving.service.server.connections) == 1)  # only the other one's is left
+        async with asyncio.timeout(8):  # long before the server would give it up by itself
+            await until(lambda: len(serving.service.server.connections) == 1)  # only the other one's is left
         slow.close()
 
 
