--- a/calicomast/net/changes.py
+++ b/calicomast/net/changes.py
@@ -19,7 +19,7 @@
 from calicomast.net import keys
 from calicomast.net.bans import Kept
 from calicomast.net.config import Config, ConfigError, in_one_line, rebuild, reread_config
-from calicomast.net.listing import Address, Listing
+from calicomast.net.listing import Listing, write_address
 from calicomast.policy import Gateway
 
 PREPARE_WITHIN = 3.0  # s
@@ -128,16 +128,11 @@
     return hashlib.blake2b(text.encode(), digest_size=8).hexdigest()
 
 
-def place(address: Address) -> str:
-    host, port = address
-    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
-
-
 def content(config: Config) -> Tree:
     """What of a configuration may change: as it is in force, whether the file or the environment gave it."""
-    told = {"discovery": place(config.discovery), "limits": config.tree["limits"],
+    told = {"discovery": write_address(config.discovery), "limits": config.tree["limits"],
             "settings": config.tree["settings"]}
-    return told | ({"counter": place(config.counter)} if config.counter else {})
+    return told | ({"counter": write_address(config.counter)} if config.counter else {})
 
 
 def filed(config: Config) -> str:
@@ -233,7 +228,7 @@
             self.node.adopt(config, listing)
         log.info("version %d is in force, by %s: %d classes, %d plans, discovery at %s", version.number,
                  version.by, len(config.settings.classes), len(config.settings.plans),
-                 place(config.discovery))
+                 write_address(config.discovery))
 
     # What operators ask
 
@@ -370,7 +365,7 @@
             log.error("SIGHUP: %s; nothing changes", err)
             return
         log.info("SIGHUP: %d classes, %d plans, discovery at %s", len(fresh.settings.classes),
-                 len(fresh.settings.plans), place(fresh.discovery))
+                 len(fresh.settings.plans), write_address(fresh.discovery))
         if fresh.counter and not self.node.config.counter:
             log.warning("SIGHUP: a counter that comes needs a new process; there is none until then")
         told = content(fresh)
--- a/calicomast/net/config.py
+++ b/calicomast/net/config.py
@@ -37,6 +37,9 @@
     connect_timeout: float
     idle_close: float  # hosts close a connection that has stood idle for this long
     max_open: int  # requests in work at once
+    others: tuple[Address, ...]  # more replicas of discovery
+    keep: bool  # whether its list outlasts the process
+    replicas: bool  # whether the file has the key for these two
     tree: dict[str, Any]  # the file itself: a later one must be as complete
 
 
@@ -73,7 +76,8 @@
 def rebuild(last: Config, tree: dict[str, Any]) -> Config:
     """What `tree` says; what a process that runs cannot change stays as it is."""
     return replace(build(tree, {}), name=last.name, listen=last.listen, inherited=last.inherited,
-                   control=last.control, scratch=last.scratch, seed=last.seed, known=last.known)
+                   control=last.control, scratch=last.scratch, seed=last.seed, known=last.known,
+                   others=last.others, keep=last.keep, replicas=last.replicas)
 
 
 def complete(last: Any, fresh: Any, name: str) -> None:
@@ -117,6 +121,7 @@
     if settings.counter and not counter:
         raise ValueError("the settings allow a counter but no address is given")
     inherited, scratch = env.get("RELAY_SOCKET_FD"), env.get("TMPDIR")
+    others, keep = read_replicas(told.get("replicas", {}))
     return Config(
         name=env.get("RELAY_NAME") or told["name"],
         listen=read_address(env.get("RELAY_LISTEN") or told["listen"]),
@@ -129,4 +134,12 @@
         memory=float(told["limits"]["memory_mb"]) * 2 ** 20,
         known=read_list(told["known"], "cached"), settings=settings,
         connect_timeout=seconds(limits["connect_timeout"]), idle_close=seconds(limits["idle_close"]),
-        max_open=int(limits["max_open"]), tree=told)
+        max_open=int(limits["max_open"]), others=others, keep=keep, replicas="replicas" in told, tree=told)
+
+
+def read_replicas(told: dict[str, Any]) -> tuple[tuple[Address, ...], bool]:
+    """Raises ValueError unless it holds at most `others`, a list of addresses, and `keep`."""
+    others, keep = told.get("others", []), told.get("keep", False)
+    if set(told) - {"others", "keep"} or not isinstance(others, list) or not isinstance(keep, bool):
+        raise ValueError("replicas may hold others, a list of HOST:PORT, and keep, true or false")
+    return tuple(read_address(text) for text in others), keep
--- a/calicomast/net/discovery.py
+++ b/calicomast/net/discovery.py
@@ -11,6 +11,7 @@
 import logging
 import random
 from collections.abc import Callable
+from time import monotonic
 from typing import Any
 
 import aiohttp
@@ -66,6 +67,7 @@
         self.session: aiohttp.ClientSession | None = None
         self.watching: asyncio.Task[None] | None = None
         self.fetching: set[asyncio.Task[None]] = set()
+        self.heard: float | None = None  # when the last answer came
 
     async def get(self, params: dict[str, int], limit: float) -> None:
         if self.session is None:
@@ -73,8 +75,22 @@
         asked = self.url
         listing = await ask(self.session, asked, params, limit)
         if asked == self.url:  # else it moved meanwhile, and its versions are others
-            self.version = listing.hosts.version
-            self.told(listing)
+            self.take(listing)
+            self.heard = monotonic()
+
+    def take(self, listing: Listing) -> None:
+        self.version = listing.hosts.version
+        self.told(listing)
+
+    def age(self) -> float | None:
+        """Seconds since the last answer; None: there was none."""
+        return None if self.heard is None else monotonic() - self.heard
+
+    def told_of(self) -> dict[str, Any]:
+        """What operators see of the list."""
+        age = self.age()
+        return {"version": self.version, "age": None if age is None else round(age, 1), "from": self.url,
+                "failures": self.backoff.fails}
 
     async def attempt(self, params: dict[str, int], limit: float) -> bool:
         try:
--- a/calicomast/net/gateway.py
+++ b/calicomast/net/gateway.py
@@ -22,7 +22,7 @@
 from calicomast.net.counter import Counter
 from calicomast.net.discovery import Discovery
 from calicomast.net.hosts import Attempt, Hosts
-from calicomast.net.listing import Listing
+from calicomast.net.listing import Address, Listing
 from calicomast.net.lives import Lives
 from calicomast.net.resp import MOST_LARGE
 from calicomast.policy import Gateway
@@ -128,8 +128,10 @@
         # Where lists are pushed, asking costs nothing; else what is known need not be told again.
         known = config.known.hosts
         version = known.version if known.hosts and self.settings.discovery == "ask" else None
-        self.discovery = Discovery(config.discovery, version, self.listed, self.list_failed,
-                                   self.settings.gateways, config.seed)
+        args = version, self.listed, self.list_failed, self.settings.gateways, config.seed
+        self.first = config.known  # the list to begin with
+        make = self.replicas if config.replicas else Discovery
+        self.discovery = make(config.discovery, *args)
         self.actions = {
             api.Send: self.send, api.Refuse: self.refuse, api.Fail: self.fail, api.Cancel: self.cancel,
             api.Count: self.count, api.SetTimer: self.set_timer, api.Probe: self.probe,
@@ -137,12 +139,20 @@
             api.Watch: lambda a: self.discovery.watch(a.on),
             api.Log: lambda a: log.info("module: %s", a.text)}
 
+    def replicas(self, address: Address, *args: Any) -> Discovery:
+        from calicomast.net.replicas import Replicas
+
+        config = self.config
+        made = Replicas(address, config.others, config.scratch if config.keep else None, config.name, *args)
+        self.first = made.recall() or self.first
+        return made
+
     async def start(self) -> int:
         """Returns the port that clients connect to. Before the first of them the module knows its hosts."""
         self.lives.begin()
         if self.config.control:
             self.changed().begin()
-        self.listed(self.config.known)
+        self.listed(self.first)
         self.look()
         self.hosts.start_checks()
         if self.counter:
@@ -483,7 +493,7 @@
         ready = self.ready and self.state == "active" and self.clients.listener is not None
         return {"ready": ready, "state": self.state, "hosts": sorted(self.hosts.pools),
                 "hosts_out": sorted(self.hosts.out), "requests": len(self.works),
-                "clients": len(self.clients.clients)}
+                "clients": len(self.clients.clients), "list": self.discovery.told_of()}
 
     def hand(self, host: str, out: bool) -> None:
         """Takes a host out, or lets it be used again. A repeat changes nothing."""
--- /dev/null
+++ b/calicomast/net/replicas.py
@@ -0,0 +1,121 @@
+"""Discovery from a list service of several replicas, whose outages the last good list outlasts.
+
+One replica is asked at a time, the next one after a failure. A version that goes backwards within an epoch is
+that of a replica that lags, and not taken; another epoch is another life of the service, and its list counts.
+The list is kept under $TMPDIR, so that a process which starts in an outage begins with what the last one had.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import time
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+from calicomast import interface as api
+from calicomast.net.bans import Kept
+from calicomast.net.discovery import Discovery, url
+from calicomast.net.listing import STATE, Address, Listing, read_list, write_address
+
+KEEP_EVERY = 5.0  # s between two times that the list is written
+WORD = {state: word for word, state in STATE.items()}
+
+log = logging.getLogger(__name__)
+
+
+class Behind(Exception):
+    """A replica that lags: what it tells is older than what is known."""
+
+
+class Replicas(Discovery):
+    """`folder` is where the list is kept; None: nowhere."""
+
+    def __init__(self, address: Address, others: tuple[Address, ...], folder: Path | None, name: str,
+                 *args: Any) -> None:
+        super().__init__(address, *args)
+        self.places, self.at = [url(place) for place in (address, *others)], 0
+        self.epoch, self.newest = "", 0  # of the last list; its version
+        self.list: dict[str, tuple[api.Host, Address | None]] = {}
+        self.kept = Kept(folder / f"{name}-list.json" if folder else None)
+        self.writing: asyncio.TimerHandle | None = None
+
+    def recall(self) -> Listing | None:
+        """The list that was kept, as if it had just been told; it keeps its age."""
+        try:
+            text = self.kept.read()
+            if text is None:
+                return None
+            told = json.loads(text)
+            listing, at = read_list(told), float(told["at"])
+        except (OSError, ValueError, KeyError, TypeError, RecursionError) as err:
+            log.error("%s: %s; it is passed over", self.kept.path, err)
+            return None
+        if not listing.hosts.hosts:
+            return None
+        self.note(listing)
+        self.version, self.heard = self.newest, time.monotonic() - max(0.0, time.time() - at)
+        return replace(listing, hosts=replace(listing.hosts, mode="cached"))
+
+    async def get(self, params: dict[str, Any], limit: float) -> None:
+        await super().get({**params, "epoch": self.epoch} if self.epoch and params else params, limit)
+
+    async def attempt(self, params: dict[str, int], limit: float) -> bool:
+        done = await super().attempt(params, limit)
+        if not done and len(self.places) > 1:
+            self.at = (self.at + 1) % len(self.places)
+            self.url = self.places[self.at]
+        return done
+
+    def take(self, listing: Listing) -> None:
+        known = bool(self.epoch) and listing.epoch == self.epoch
+        if known and listing.hosts.version < self.newest:
+            raise Behind(f"version {listing.hosts.version}, where {self.newest} is known")
+        if self.epoch and not known:
+            if listing.hosts.mode != "full":
+                raise ValueError("changes of another epoch")
+            log.warning("discovery: %s is in epoch %s, not %s any longer: its whole list counts", self.url,
+                        listing.epoch or "none", self.epoch)
+        self.note(listing)
+        super().take(listing)
+        if self.writing is None and self.kept.path is not None:
+            self.writing = asyncio.get_running_loop().call_later(KEEP_EVERY, self.keep)
+
+    def note(self, listing: Listing) -> None:
+        self.epoch, self.newest = listing.epoch, listing.hosts.version
+        if listing.hosts.mode != "delta":
+            self.list = {}
+        for host in listing.hosts.hosts:
+            if host.state == "down":
+                self.list.pop(host.id, None)
+            else:
+                self.list[host.id] = host, listing.addresses.get(host.id)
+
+    def keep(self) -> None:
+        self.writing = None
+        servers = [{"id": h.id, "zone": h.zone, "kind": h.kind, "cell": h.cell, "state": WORD[h.state],
+                    "weight": h.weight, "started_ms": h.started * 1000,
+                    **({"addr": write_address(address)} if address else {})}
+                   for h, address in self.list.values()]
+        heard = time.time() - (self.age() or 0.0)
+        try:
+            with self.kept.locked():
+                self.kept.write(json.dumps({"at": heard, "version": self.newest, "epoch": self.epoch,
+                                            "full": True, "servers": servers}))
+        except OSError as err:
+            log.error("%s: %s; the list is not kept", self.kept.path, err)
+
+    def move(self, address: Address, version: int | None = None) -> None:
+        self.places[0], self.at, self.epoch = url(address), 0, ""
+        super().move(address, version)
+
+    def told_of(self) -> dict[str, Any]:
+        return {**super().told_of(), "epoch": self.epoch}
+
+    async def close(self) -> None:
+        if self.writing is not None:
+            self.writing.cancel()
+            self.keep()
+        await super().close()
--- a/calicomast/registry/config.py
+++ b/calicomast/registry/config.py
@@ -13,7 +13,8 @@
 from calicomast.net.listing import Address, read_address
 from calicomast.registry.core import STATES, Host
 
-KEYS = {"listen", "hosts", "watchers"}
+KEYS = {"listen", "hosts", "watchers", "learn_ms"}
+LEARN = 10.0  # s after a start in which hosts come back, where there is no file that names them
 WATCHERS = 2000  # watches that wait at once, where the file does not say
 
 
@@ -22,6 +23,7 @@
     listen: Address
     hosts: Path | None  # the operator's file
     watchers: int
+    learn: float  # s after a start for which no list is told: it would lack the hosts that are not back yet
 
 
 def read_config(env: Mapping[str, str] = os.environ) -> Config:
@@ -36,7 +38,10 @@
         if type(watchers) is not int or watchers < 1:
             raise ValueError(f"watchers is {watchers!r}, not a whole number of 1 or more")
         hosts = told.get("hosts")
-        return Config(read_address(told["listen"]), Path(hosts) if hosts else None, watchers)
+        learn = told.get("learn_ms", 0 if hosts else LEARN * 1000)
+        if type(learn) not in (int, float) or not 0 <= learn <= 3_600_000:
+            raise ValueError(f"learn_ms is {learn!r}, not a number from 0 to 3600000")
+        return Config(read_address(told["listen"]), Path(hosts) if hosts else None, watchers, learn / 1000)
 
 
 def read_hosts(path: Path) -> list[Host]:
--- a/calicomast/registry/service.py
+++ b/calicomast/registry/service.py
@@ -38,11 +38,13 @@
         self.encoded: dict[tuple[int | None, int], bytes] = {}  # of the version that is told now
         self.timer: asyncio.TimerHandle | None = None
         self.guarded = 0
+        self.learned_at = 0.0  # before that no list is told
 
     async def start(self) -> int:
         """Raises ConfigError or OSError. Returns the port."""
         if self.config.hosts is not None:
             self.registry.load(self.clock(), read_hosts(self.config.hosts))
+        self.learned_at = self.clock() + self.config.learn
         loop = asyncio.get_running_loop()
         self.listener = await loop.create_server(self.server, *self.config.listen, backlog=BACKLOG)
         self.turn()
@@ -105,6 +107,8 @@
         query = request.query
         if set(query) - {"index", "wait", "epoch"}:
             raise ValueError("the query may hold index, wait and epoch")
+        if self.clock() < self.learned_at:
+            return refuse(503, "hosts are still coming back after the start")
         if "index" not in query:
             answer = self.registry.answer(None, None)
         else:
--- a/tests/netkit.py
+++ b/tests/netkit.py
@@ -237,8 +237,9 @@
     """A gateway with a counter and discovery of its own and the given hosts, named h1, h2 and so on; or one
     more process of the same, beside another."""
 
-    def __init__(self, *hosts, path, settings=None, beside=None):
+    def __init__(self, *hosts, path, settings=None, beside=None, more=None):
         self.hosts, self.path, self.settings, self.beside = hosts, path, settings, beside
+        self.more = more or {}  # other keys of the file, or other values
         self.counter = beside.counter if beside else StubCounter()
         self.discovery, self.writers = beside.discovery if beside else StubDiscovery(), []
 
@@ -250,7 +251,7 @@
             listed = [entry(h, f"h{n}") for n, h in enumerate(self.hosts, 1)]
             self.discovery.servers = listed
             self.file.write_text(json.dumps(
-                told(listed, self.discovery.port, self.counter.port, self.settings)))
+                told(listed, self.discovery.port, self.counter.port, self.settings) | self.more))
         env = {"RELAY_CONFIG": str(self.file), "RELAY_CONTROL": "127.0.0.1:0", "TMPDIR": str(self.path)}
         os.environ["RELAY_CONFIG"] = str(self.file)  # a signal reads the file that the environment names
         self.node = GatewayNode(read_config(env))
--- a/tests/test_net_control.py
+++ b/tests/test_net_control.py
@@ -16,9 +16,11 @@
     async with StubHost() as host, Node(host, path=tmp_path) as node:
         assert (await node.call("GET /status"))[0] == 200
         await node.call("POST /standby")
-        assert await node.call("GET /status") == (503, {
-            "ready": False, "state": "standby", "hosts": ["h1"], "hosts_out": [], "requests": 0,
-            "clients": 0})
+        status, told = await node.call("GET /status")
+        listed = told.pop("list")
+        assert (status, told) == (503, {"ready": False, "state": "standby", "hosts": ["h1"], "hosts_out": [],
+                                        "requests": 0, "clients": 0})
+        assert listed["version"] == 1 and listed["age"] < 20 and listed["failures"] == 0
     async with Node(path=tmp_path) as node:  # it knows no host
         assert (await node.call("GET /status"))[0] == 503
 
--- /dev/null
+++ b/tests/test_net_replicas.py
@@ -0,0 +1,185 @@
+"""Lists from several replicas: outages, epochs, replicas that lag, the list that is kept."""
+
+import asyncio
+import json
+import os
+import subprocess
+import sys
+
+import pytest
+from netkit import SERVED, Node, StubHost, command, entry, on_loop, told, until
+from test_registry_service import Serving
+
+from calicomast.net import discovery, replicas
+from calicomast.net.listing import read_list
+from calicomast.net.replicas import Behind, Replicas
+
+ASK = {"known": {"version": 0, "full": True, "servers": []}}
+
+
+def using(one, *others, keep=False):
+    """The keys of a gateway whose discovery these are."""
+    return ASK | {"discovery": f"127.0.0.1:{one}",
+                  "replicas": {"others": [f"127.0.0.1:{port}" for port in others], "keep": keep}}
+
+
+def pools(node):
+    return sorted(node.node.hosts.pools)
+
+
+@on_loop
+async def test_when_one_replica_dies_the_next_one_is_asked_and_its_epoch_is_another(tmp_path, caplog):
+    async with StubHost() as host, Serving(epoch="e2", first=7) as two:
+        await two.register("h1", addr=f"127.0.0.1:{host.port}")
+        async with Serving() as one:
+            await one.register("h1", addr=f"127.0.0.1:{host.port}")
+            node = Node(path=tmp_path, more=using(one.port, two.port))
+            await node.__aenter__()
+            await until(lambda: pools(node) == ["h1"] and one.service.waiting)
+            assert not two.service.waiting  # one is asked at a time
+        await until(lambda: two.service.waiting)
+        assert "epoch e2" in caplog.text and await node.ask(command()) == SERVED
+        await two.register("h2", addr=f"127.0.0.1:{host.port}")
+        await until(lambda: pools(node) == ["h1", "h2"])
+        seen = (await node.call("GET /status"))[1]["list"]
+        assert (seen["epoch"], seen["version"], seen["failures"]) == ("e2", 9, 0)
+        await node.__aexit__()
+
+
+@on_loop
+async def test_of_a_replica_that_lags_nothing_is_taken_until_it_has_caught_up(tmp_path, monkeypatch):
+    monkeypatch.setattr(discovery, "BACKOFF_MOST", 0.1)
+    async with StubHost() as host, Serving() as lags:
+        address = f"127.0.0.1:{host.port}"
+        async with Serving() as one:
+            for name in ("h1", "h2", "h3"):
+                await one.register(name, addr=address)
+            await lags.register("h1", addr=address)
+            node = Node(path=tmp_path, more=using(one.port, lags.port))
+            await node.__aenter__()
+            await until(lambda: len(pools(node)) == 3)
+        await until(lambda: node.node.discovery.backoff.fails >= 5)
+        assert len(pools(node)) == 3 and node.node.discovery.newest == 44
+        for name in ("h2", "h3", "h4"):
+            await lags.register(name, addr=address)
+        await until(lambda: len(pools(node)) == 4)
+        await node.__aexit__()
+
+
+@on_loop
+async def test_a_service_that_starts_again_empty_takes_no_host_away(tmp_path, monkeypatch):
+    monkeypatch.setattr(discovery, "BACKOFF_MOST", 0.1)
+    async with StubHost() as host:
+        address = f"127.0.0.1:{host.port}"
+        async with Serving() as first:
+            await first.register("h1", addr=address)
+            node = Node(path=tmp_path, more=using(first.port))
+            await node.__aenter__()
+            await until(lambda: pools(node) == ["h1"])
+        async with Serving(epoch="e2", port=first.port, learn=0.5) as again:
+            before = node.node.discovery.backoff.fails
+            await until(lambda: node.node.discovery.backoff.fails > before + 1)
+            assert pools(node) == ["h1"]
+            await again.register("h1", addr=address)
+            await until(lambda: node.node.discovery.epoch == "e2")
+            assert pools(node) == ["h1"] and await node.ask(command()) == SERVED
+            await node.__aexit__()
+
+
+@on_loop
+async def test_a_process_that_starts_in_an_outage_begins_with_the_list_that_was_kept(tmp_path):
+    async with StubHost() as host:
+        async with Serving() as service:
+            await service.register("h1", addr=f"127.0.0.1:{host.port}", zone="a")
+            async with Node(path=tmp_path, more=using(service.port, keep=True)) as node:
+                await until(lambda: pools(node) == ["h1"])
+        kept = json.loads((tmp_path / "n0-list.json").read_text())
+        kept["at"] -= 100
+        (tmp_path / "n0-list.json").write_text(json.dumps(kept))
+        async with Node(path=tmp_path, more=using(service.port, keep=True)) as node:
+            status, seen = await node.call("GET /status")
+            assert status == 200 and seen["hosts"] == ["h1"] and 100 <= seen["list"]["age"] < 130
+            assert (seen["list"]["epoch"], seen["list"]["version"]) == ("e1", 42)
+            assert await node.ask(command()) == SERVED
+            async with Serving(port=service.port, first=41) as service:
+                await service.register("h1", addr=f"127.0.0.1:{host.port}", zone="a")
+                await until(lambda: service.service.waiting)  # a watch from the kept version on
+                await service.register("h2", addr=f"127.0.0.1:{host.port}")
+                await until(lambda: pools(node) == ["h1", "h2"])
+                assert (await node.call("GET /status"))[1]["list"]["age"] < 100
+
+
+@pytest.mark.parametrize("text", ["", "{", "[]", "null", "{}", "\x00\xff", "[" * 5000, '{"at": 1}',
+                                  '{"at": "x", "version": 1, "full": true, "servers": []}'])
+@on_loop
+async def test_a_torn_or_foreign_list_is_passed_over(text, tmp_path, caplog):
+    (tmp_path / "n0-list.json").write_text(text, encoding="latin-1")
+    async with StubHost() as host, Serving() as service:
+        await service.register("h1", addr=f"127.0.0.1:{host.port}")
+        async with Node(path=tmp_path, more=using(service.port, keep=True)) as node:
+            assert "passed over" in caplog.text
+            await until(lambda: pools(node) == ["h1"])
+        assert json.loads((tmp_path / "n0-list.json").read_text())["epoch"] == "e1"
+
+
+@on_loop
+async def test_the_kept_list_is_written_now_and_then_and_not_with_each_change(tmp_path, monkeypatch):
+    monkeypatch.setattr(replicas, "KEEP_EVERY", 0.2)
+    async with StubHost() as host, Serving() as service:
+        async with Node(path=tmp_path, more=using(service.port, keep=True)) as node:
+            written = []
+            write = node.node.discovery.kept.write
+            node.node.discovery.kept.write = lambda text: (written.append(text), write(text))
+            for n in range(20):
+                await service.register(f"h{n}", addr=f"127.0.0.1:{host.port}")
+                await until(lambda n=n: len(pools(node)) == n + 1)
+            await until(lambda: written and len(json.loads(written[-1])["servers"]) == 20)
+            assert len(written) < 20
+
+
+def listing(version, *names, full=False, epoch="e1"):
+    return read_list({"version": version, "full": full, "epoch": epoch,
+                      "servers": [entry(None, name, port=9) for name in names]})
+
+
+def test_versions_within_an_epoch_and_changes_across_epochs():
+    heard = []
+    client = Replicas(("127.0.0.1", 1), (), None, "n0", None, heard.append, lambda: None)
+    client.take(listing(5, "a", full=True))
+    for older in (listing(4, "b"), listing(4, "b", full=True)):
+        with pytest.raises(Behind):
+            client.take(older)
+    with pytest.raises(ValueError, match="another epoch"):
+        client.take(listing(9, "b", epoch="e2"))
+    client.take(listing(6, "b"))
+    client.take(listing(2, "c", full=True, epoch="e2"))
+    assert [t.hosts.version for t in heard] == [5, 6, 2] and list(client.list) == ["c"]
+
+
+@pytest.mark.parametrize("bad", [
+    {}, {"id": "x"}, 5, None, {"id": "x", "state": "odd"}, {"id": "x", "state": "up", "addr": "nowhere"},
+    {"id": "x", "state": "up", "weight": "heavy"}])
+def test_an_entry_that_cannot_be_read_costs_that_entry(bad, caplog):
+    read = read_list({"version": 1, "full": True, "servers": [entry(None, "a", port=9), bad]})
+    assert [h.id for h in read.hosts.hosts] == ["a"] and "1 of 2 entries" in caplog.text
+    with pytest.raises(ValueError, match="list of hosts"):
+        read_list({"version": 1, "full": True, "servers": [bad]})
+
+
+@pytest.mark.parametrize("odd", [5, [], {"others": "x"}, {"others": ["nowhere"]}, {"keep": 1}, {"more": 1}])
+def test_malformed_replicas_end_the_start_in_one_line(odd, tmp_path):
+    (tmp_path / "config.json").write_text(json.dumps(told([], 1, 2) | {"replicas": odd}))
+    env = {**os.environ, "RELAY_CONFIG": str(tmp_path / "config.json")}
+    ended = subprocess.run([sys.executable, "-m", "calicomast.net"], env=env, capture_output=True, text=True,
+                           timeout=60)
+    assert ended.returncode == 2 and ended.stderr.count("\n") == 1
+
+
+@on_loop
+async def test_without_the_key_nothing_of_it_is_there(tmp_path):
+    async with StubHost() as host, Node(host, path=tmp_path) as node:
+        assert type(node.node.discovery) is discovery.Discovery
+        code = ("import sys, calicomast.net.__main__; "
+                "sys.exit('calicomast.net.replicas' in sys.modules or 'calicomast.registry' in sys.modules)")
+        ended = await asyncio.to_thread(subprocess.run, [sys.executable, "-c", code], timeout=60)
+        assert ended.returncode == 0 and not list(tmp_path.glob("*-list.json"))
--- a/tests/test_registry_service.py
+++ b/tests/test_registry_service.py
@@ -25,14 +25,16 @@
 class Serving:
     """The service on a free port, and a session that calls it."""
 
-    def __init__(self, path=None, hosts=(), watchers=1000, first=41):
+    def __init__(self, path=None, hosts=(), watchers=1000, first=41, epoch="e1", port=0, learn=0.0):
+        self.epoch, self.port, self.learn = epoch, port, learn
         self.file, self.hosts = path and path / "hosts.json", hosts
         self.watchers, self.first = watchers, first
 
     async def __aenter__(self):
         if self.file:
             self.file.write_text(json.dumps({"servers": list(self.hosts)}))
-        self.service = Service(Config(("127.0.0.1", 0), self.file, self.watchers), Registry("e1", self.first))
+        config = Config(("127.0.0.1", self.port), self.file, self.watchers, self.learn)
+        self.service = Service(config, Registry(self.epoch, self.first))
         self.port = await self.service.start()
         self.session = aiohttp.ClientSession(f"http://127.0.0.1:{self.port}", trust_env=False)
         return self
@@ -216,6 +218,16 @@
             assert await node.ask(command(b"b")) == SERVED
 
 
+@on_loop
+async def test_after_a_start_no_list_is_told_until_hosts_had_time_to_come_back():
+    async with Serving(learn=0.3) as serving:
+        status, told = await serving.call("GET", "/v1/endpoints?index=41&wait=5000")
+        assert status == 503 and "coming back" in told["error"]
+        assert (await serving.register("s-1"))[0] == 200
+        await until(lambda: serving.service.clock() > serving.service.learned_at)
+        assert [h["id"] for h in (await serving.list())["servers"]] == ["s-1"]
+
+
 # The program
 
 def start(tmp_path, told, **kw):
@@ -228,6 +240,7 @@
     ("", "Expecting"), ("[]", "list"), ({}, "listen"), ({"listen": "nowhere"}, "HOST:PORT"),
     ({"listen": "127.0.0.1:0", "more": 1}, "more"), ({"listen": "127.0.0.1:0", "watchers": 0}, "watchers"),
     ({"listen": "127.0.0.1:0", "hosts": "/none/there.json"}, "No such file"),
+    ({"listen": "127.0.0.1:0", "learn_ms": -1}, "learn_ms"),
 ])
 def test_a_bad_configuration_is_one_plain_line_and_status_2(told, word, tmp_path):
     ended = start(tmp_path, told)
