Count a charge that was spent just now as missing from a full store

Cause: what a quiet customer let run over is added to its count with the first lease, and Gateway.granted held its whole charge to be covered by that, Account.follow its uncharged use; both were spent within milliseconds. Ruled out: the reserve (5 of 40), the counter (its totals were right).

What the refill has not made good since the first unit of a charge now counts as missing.

--- a/calicomast/policy.py
+++ b/calicomast/policy.py
@@ -72,6 +72,7 @@
     ask: float = 0.0
     extra: float = 0.0  # for those that passed unasked
     sample: float = 1.0  # tries that it stands for
+    fresh: float = 0.0  # of the charge: spent just now
     job: Job | None = None
 
 
@@ -85,6 +86,7 @@
         self.start = self.k * self.length + self.phase
         self.lease = self.uncharged = self.adrift = self.put = 0.0  # adrift: charged on calls without answer
         self.total = self.debt = self.used = self.last_used = 0.0
+        self.owed_at = now
         self.carried = self.others = self.life = 0.0  # owed from before a change of windows, here and by the
         # other gateways; units ever used here
         self.past: list[Account] = []  # the customer's in other windows, as long as these or their work last
@@ -112,6 +114,10 @@
         self.used += units
         self.life += units
 
+    def fresh(self, now: float) -> float:
+        """What of the uncharged the refill has not made good: missing from the store, however full it was."""
+        return max(0.0, self.uncharged - self.plan.rate * (now - self.owed_at))
+
     def resume(self, old: Account) -> None:
         """Back in a window that was left for a moment: its count has not heard what was spent meanwhile."""
         self.uncharged += old.life - self.life
@@ -122,7 +128,7 @@
         itself, at most what the refill has not made good, and counts on the others to do the same. This
         window has refilled nothing so far. Harm: leases in hand lapse as at a turn."""
         refill = old.hold(now) - old.plan.burst
-        missing = max(0.0, old.total + old.uncharged - max(refill, old.debt))
+        missing = max(old.fresh(now), old.total + old.uncharged - max(refill, old.debt))
         self.uncharged = self.carried = min(old.carried + old.used, missing)
         self.debt = self.hold(now) - self.plan.burst + max(0.0, old.debt - refill)
         self.others = missing - self.carried
@@ -604,6 +610,7 @@
             acct.lease -= units
         # What is less than a request is rounded at random, once a window: over all gateways it comes out.
         elif acct.room(now) >= units and left >= units * (1 - acct.dice):
+            acct.owed_at = acct.owed_at if acct.uncharged else now
             acct.uncharged += units
         else:
             return False
@@ -658,6 +665,7 @@
             return
         extra = need * (min(SAMPLE_MOST, factor) - 1)
         call = acct.call = Call(acct, "units", acct.k, acct.uncharged, ask, extra, sample=factor)
+        call.fresh = acct.fresh(now)
         acct.total += acct.uncharged
         acct.uncharged = 0.0
         self.count(stable_hash(acct.name, acct.k), ask + call.charge + call.extra, 3 * acct.length, call)
@@ -708,7 +716,7 @@
             extra = acct.put
         total = max(total, acct.others + acct.put + mine)
         if not acct.thin:  # the store holds a burst at most: what a quiet customer let run over is gone
-            extra += max(0, int(acct.hold(now) - acct.plan.burst - (total + extra - call.ask)))
+            extra += max(0, int(acct.hold(now) - acct.plan.burst - (total + extra - call.ask - call.fresh)))
         jobs = [self.jobs[i] for i in acct.waiting if i in self.jobs]
         kept = min((self.kept(j) for j in jobs), default=0.0)
         over = min(call.ask, max(0.0, math.ceil(total + extra + kept - acct.hold(now))))
