Limits on new connections by source and by rate, off unless the key edge is there

One place with many connections could take all places of clients; only the third of the descriptors bounded it. With the key edge a source (a prefix) holds so many and opens so many a second, all together so many a second; fronts are exempt; new connections are taken in lots of 16, and where descriptors end accepting pauses instead of spinning.

Off, the loop accepts as before and nothing is imported (tested).

--- a/calicomast/net/clients.py
+++ b/calicomast/net/clients.py
@@ -114,6 +114,7 @@
         self.awaited: float | None = self.active  # since when a command is due; None: between commands
         self.closing = self.broken = self.paused = self.flooded = False
         self.last = False  # nothing more is read until a drain is over
+        self.ended: Callable[[], None] | None = None  # hears of its end
         self.transport: asyncio.Transport
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -123,6 +124,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self.closing = True
         self.server.left(self)
+        if self.ended is not None:
+            self.ended()
         body, self.body = self.body, None
         if body:
             self.server.budget.give(len(body.data))
@@ -263,22 +266,32 @@
             self.transport.pause_reading() if flooded else self.transport.resume_reading()
 
 
+def open_socket(host: str, port: int) -> socket.socket:
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    return socket.create_server((host, port), family=family, backlog=BACKLOG)
+
+
 class ClientServer:
     """`handler` has command(slot, command) and gone(slot)."""
 
     def __init__(self, handler: Any, most: int) -> None:
         self.handler, self.most = handler, most
         self.clients: dict[Client, None] = {}  # in order of their coming
-        self.listener: asyncio.Server | None = None
+        self.listener: Any = None  # an asyncio.Server, or an Acceptor
         self.on_empty: Callable[[], None] | None = None
         self.sweeping: asyncio.TimerHandle | None = None
         self.drained_at: float | None = None  # since when clients are sent away
         self.budget = Budget()
 
-    async def listen(self, host: str, port: int, inherited: int | None = None) -> int:
+    async def listen(self, host: str, port: int, inherited: int | None = None, edge: Any = None) -> int:
         """On a duplicate of a descriptor that is inherited: closing it leaves the socket to its owner."""
         loop, made = asyncio.get_running_loop(), (lambda: Client(self))
-        if inherited is None:
+        if edge is not None:
+            from calicomast.net.admission import Acceptor, Gate
+
+            sock = open_socket(host, port) if inherited is None else socket.socket(fileno=os.dup(inherited))
+            self.listener = Acceptor(sock, made, Gate(edge, monotonic()))
+        elif inherited is None:
             self.listener = await loop.create_server(made, host, port, backlog=BACKLOG)
         else:
             sock = socket.socket(fileno=os.dup(inherited))
--- a/calicomast/net/config.py
+++ b/calicomast/net/config.py
@@ -40,6 +40,7 @@
     others: tuple[Address, ...]  # more replicas of discovery
     keep: bool  # whether its list outlasts the process
     replicas: bool  # whether the file has the key for these two
+    edge: Any  # an admission.Edge: limits on new connections of clients; None: none
     tree: dict[str, Any]  # the file itself: a later one must be as complete
 
 
@@ -77,7 +78,7 @@
     """What `tree` says; what a process that runs cannot change stays as it is."""
     return replace(build(tree, {}), name=last.name, listen=last.listen, inherited=last.inherited,
                    control=last.control, scratch=last.scratch, seed=last.seed, known=last.known,
-                   others=last.others, keep=last.keep, replicas=last.replicas)
+                   others=last.others, keep=last.keep, replicas=last.replicas, edge=last.edge)
 
 
 def complete(last: Any, fresh: Any, name: str) -> None:
@@ -134,7 +135,15 @@
         memory=float(told["limits"]["memory_mb"]) * 2 ** 20,
         known=read_list(told["known"], "cached"), settings=settings,
         connect_timeout=seconds(limits["connect_timeout"]), idle_close=seconds(limits["idle_close"]),
-        max_open=int(limits["max_open"]), others=others, keep=keep, replicas="replicas" in told, tree=told)
+        max_open=int(limits["max_open"]), others=others, keep=keep, replicas="replicas" in told,
+        edge=edge_of(told["edge"]) if "edge" in told else None, tree=told)
+
+
+def edge_of(told: Any) -> Any:
+    """Imported where there is one only."""
+    from calicomast.net.admission import read_edge
+
+    return read_edge(told)
 
 
 def read_replicas(told: dict[str, Any]) -> tuple[tuple[Address, ...], bool]:
--- a/calicomast/net/gateway.py
+++ b/calicomast/net/gateway.py
@@ -159,7 +159,7 @@
             self.counter.start()
         if self.settings.discovery == "push":
             self.discovery.watch(True)
-        port = await self.clients.listen(*self.config.listen, self.config.inherited)
+        port = await self.clients.listen(*self.config.listen, self.config.inherited, self.config.edge)
         if self.config.control:
             from calicomast.net.control import Control
 
@@ -493,7 +493,8 @@
         ready = self.ready and self.state == "active" and self.clients.listener is not None
         return {"ready": ready, "state": self.state, "hosts": sorted(self.hosts.pools),
                 "hosts_out": sorted(self.hosts.out), "requests": len(self.works),
-                "clients": len(self.clients.clients), "list": self.discovery.told_of()}
+                "clients": len(self.clients.clients), "list": self.discovery.told_of(),
+                **({"edge": self.clients.listener.gate.counts} if self.config.edge else {})}
 
     def hand(self, host: str, out: bool) -> None:
         """Takes a host out, or lets it be used again. A repeat changes nothing."""
--- /dev/null
+++ b/tests/test_net_admission.py
@@ -0,0 +1,188 @@
+"""New connections of clients: limits by source and by rate, fronts, and an end of descriptors."""
+
+import asyncio
+import errno
+import socket
+
+import pytest
+from netkit import SERVED, Node, StubHost, command, on_loop, read_reply, until
+
+from calicomast.net import admission
+from calicomast.net.admission import Edge, Gate, read_edge
+
+PING = b"*1\r\n$4\r\nPING\r\n"
+
+
+def gate(**kw):
+    return Gate(read_edge(kw), 0.0)
+
+
+def test_without_limits_all_are_taken():
+    g = gate()
+    assert [g.ask(0.0, f"10.0.0.{n % 5}") for n in range(1000)] == [""] * 1000
+
+
+def test_a_source_holds_so_many_and_gets_places_back():
+    g = gate(per_source=3)
+    assert [g.ask(0.0, "10.0.0.1") for _ in range(5)] == ["", "", "", "per_source", "per_source"]
+    assert g.ask(0.0, "10.0.0.2") == ""  # another one is not held up by it
+    g.left("10.0.0.1")
+    assert g.ask(0.0, "10.0.0.1") == "" and g.ask(0.0, "10.0.0.1") == "per_source"
+    assert g.counts == {"taken": 5, "per_source": 3, "new_per_source": 0, "pauses": 0}
+
+
+def test_a_source_opens_so_many_a_second():
+    g = gate(new_per_source=2)
+    assert [g.ask(0.0, "10.0.0.1") for _ in range(3)] == ["", "", "new_per_source"]
+    assert [g.ask(0.6, "10.0.0.1") for _ in range(2)] == ["", "new_per_source"]
+    assert [g.ask(9.0, "10.0.0.1") for _ in range(3)] == ["", "", "new_per_source"]  # saved up for a second
+
+
+@pytest.mark.parametrize("one, other, same", [
+    ("10.0.0.1", "10.0.0.2", False), ("10.0.0.1", "10.0.0.1", True), ("fe80::1%eth0", "fe80::2", True),
+    ("2001:db8::1", "2001:db8::2", True), ("2001:db8::1", "2001:db8:0:1::1", False)])
+def test_addresses_of_one_prefix_are_one_source(one, other, same):
+    g = gate(per_source=1)
+    assert g.ask(0.0, one) == "" and (g.ask(0.0, other) == "per_source") == same
+    wide = gate(per_source=1, prefix4=24, prefix6=32)
+    assert wide.ask(0.0, one) == "" and wide.ask(0.0, other) == "per_source"
+
+
+def test_a_front_has_no_limit_by_source():
+    g = gate(per_source=1, new_per_source=1, fronts=["10.1.0.0/16"])
+    assert [g.ask(0.0, "10.1.2.3") for _ in range(500)] == [""] * 500 and not g.sources
+    g.left("10.1.2.3")
+    assert [g.ask(0.0, "10.2.0.1") for _ in range(2)] == ["", "per_source"]
+
+
+def test_sources_are_forgotten_but_for_those_that_hold_connections(monkeypatch):
+    monkeypatch.setattr(admission, "MOST_SOURCES", 100)
+    g = gate(per_source=2)
+    for n in range(20):
+        assert g.ask(0.0, f"10.9.0.{n}") == ""
+    for n in range(5000):
+        address = f"10.{n // 65536}.{n // 256 % 256}.{n % 256}"
+        assert g.ask(0.0, address) == ""
+        g.left(address)
+    assert len(g.sources) == 100 and sum(s.held for s in g.sources.values()) == 20
+    for n in range(20):
+        g.left(f"10.9.0.{n}")
+    assert sum(s.held for s in g.sources.values()) == 0
+
+
+@pytest.mark.parametrize("told, word", [
+    (5, "object"), ({"per_source": -1}, "edge.per_source"), ({"per_source": 1.5}, "edge.per_source"),
+    ({"per_source": True}, "edge.per_source"), ({"new": "9"}, "edge.new"), ({"more": 1}, "edge.more"),
+    ({"new": float("nan")}, "edge.new"), ({"prefix4": 33}, "edge.prefix4"), ({"fronts": "x"}, "edge.fronts"),
+    ({"fronts": ["x"]}, "edge.fronts"), ({"fronts": ["10.0.0.1/8"]}, "edge.fronts"),
+    ({"fronts": [5]}, "edge.fronts"),
+])
+def test_malformed_limits_are_refused_with_path_and_reason(told, word):
+    with pytest.raises(ValueError, match=word):
+        read_edge(told)
+
+
+def edge(**kw):
+    return {"edge": kw}
+
+
+@on_loop
+async def test_past_its_limit_a_source_is_told_so_and_others_go_on(tmp_path):
+    async with StubHost() as host, Node(host, path=tmp_path, more=edge(per_source=3)) as node:
+        kept = [await node.connect() for _ in range(3)]
+        for n, (reader, writer) in enumerate(kept):
+            writer.write(command(b"k%d" % n))
+            assert await read_reply(reader) == SERVED
+        reader, writer = await node.connect()
+        assert await reader.read() == admission.REFUSED
+        writer.close()
+        other = await asyncio.open_connection("127.0.0.1", node.port, local_addr=("127.0.0.9", 0))
+        other[1].write(command(b"other"))
+        assert await read_reply(other[0]) == SERVED
+        other[1].close()
+        kept[0][1].close()
+        await until(lambda: node.node.clients.listener.gate.sources["127.0.0.1/32"].held == 2)
+        assert await node.ask(command(b"again")) == SERVED
+        counts = (await node.call("GET /status"))[1]["edge"]
+        assert (counts["taken"], counts["per_source"], counts["pauses"]) == (5, 1, 0)
+
+
+@on_loop
+async def test_a_storm_of_connections_leaves_no_counts_behind(tmp_path):
+    async with StubHost() as host, Node(host, path=tmp_path, more=edge(per_source=50)) as node:
+        for _ in range(6):
+            made = [await asyncio.open_connection("127.0.0.1", node.port) for _ in range(40)]
+            for n, (_, writer) in enumerate(made):
+                if n % 3 == 0:
+                    writer.write(PING[:7])
+                writer.transport.abort()
+        await until(lambda: not node.node.clients.clients and not node.node.clients.listener.coming)
+        await until(lambda: node.node.clients.listener.gate.sources["127.0.0.1/32"].held == 0)
+        assert await node.ask(command()) == SERVED
+
+
+@on_loop
+async def test_past_the_rate_of_all_connections_wait_in_the_backlog_and_are_served_then(tmp_path):
+    async with StubHost() as host, Node(host, path=tmp_path, more=edge(new=10)) as node:
+        made = [await node.connect() for _ in range(14)]
+        for _, writer in made:
+            writer.write(PING)
+        assert [await read_reply(reader) for reader, _ in made] == [b"+PONG\r\n"] * 14
+        assert (await node.call("GET /status"))[1]["edge"]["pauses"] >= 1
+
+
+@on_loop
+async def test_where_descriptors_end_accepting_pauses_and_goes_on(tmp_path, monkeypatch, caplog):
+    monkeypatch.setattr(admission, "PAUSE", 0.05)
+    async with StubHost() as host, Node(host, path=tmp_path, more=edge()) as node:
+        class Empty:
+            def __init__(self, sock):
+                self.sock, self.left, self.tries = sock, 3, 0
+
+            def accept(self):
+                self.tries += 1
+                if self.left:
+                    self.left -= 1
+                    raise OSError(errno.EMFILE, "Too many open files")
+                return self.sock.accept()
+
+            def __getattr__(self, name):
+                return getattr(self.sock, name)
+
+        listener = node.node.clients.listener
+        empty = listener.sockets[0] = Empty(listener.sockets[0])
+        assert await node.ask(command()) == SERVED
+        assert caplog.text.count("no connection can be taken") == 3 and listener.gate.counts["pauses"] == 3
+        assert empty.tries <= 8  # it does not spin
+
+
+@on_loop
+async def test_requests_in_work_keep_their_turns_in_a_rush(tmp_path):
+    async with StubHost() as host, Node(host, path=tmp_path, more=edge()) as node:
+        listener, turns, socks = node.node.clients.listener, [], []
+        take, turn = listener.take, listener.turn
+
+        def counted(*args):
+            turns[-1] += 1
+            take(*args)
+
+        listener.take = counted
+        listener.turn = lambda: (turns.append(0), turn())
+        listener.loop.remove_reader(listener.sockets[0].fileno())
+        listener.resume()
+        for _ in range(100):  # all of them wait before the loop gets a turn
+            sock = socket.socket()
+            sock.connect(("127.0.0.1", node.port))
+            socks.append(sock)
+        await until(lambda: len(node.node.clients.clients) == 100)
+        assert max(turns) == admission.BATCH and sum(turns) == 100
+        for sock in socks:
+            sock.close()
+
+
+@on_loop
+async def test_without_the_key_the_loop_accepts_by_itself(tmp_path):
+    async with StubHost() as host, Node(host, path=tmp_path) as node:
+        assert not isinstance(node.node.clients.listener, admission.Acceptor)
+        assert "edge" not in (await node.call("GET /status"))[1]
+        assert Edge() == read_edge({})
