Gateways that take part in a cluster, and GET /members for operators

Staff see of each gateway only what it says itself. With the key membership a gateway takes part in the failure detector over UDP and tells its kind, addresses and the digest of its configuration; GET /members lists who is alive, suspect, dead or left, since when, and who has another configuration. Nothing feeds a decision; without the key nothing is imported or bound (tested).

--- a/calicomast/membership/core.py
+++ b/calicomast/membership/core.py
@@ -129,6 +129,12 @@
         self.counts["refuted"] += 1
         self.rumours[self.name] = 0
 
+    def tell(self, meta: dict[str, str]) -> None:
+        """Something else of itself, as a new incarnation, so that it replaces what others know."""
+        self.me.meta = meta
+        self.me.incarnation += 1
+        self.rumours[self.name] = 0
+
     # Time
 
     def due(self) -> float:
--- /dev/null
+++ b/calicomast/membership/service.py
@@ -0,0 +1,99 @@
+"""The failure detector on a UDP socket: datagrams in, the core's sends out. Nothing here decides."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from time import monotonic
+from typing import Any
+
+from calicomast.membership.core import ALIVE, Address, Send, Swim
+from calicomast.net.listing import read_address, write_address
+
+MOST_WORD = 64  # characters of a cluster's name
+
+log = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class Membership:
+    """Where a process takes part."""
+
+    cluster: str
+    listen: Address
+    seeds: tuple[Address, ...]
+
+
+def read_membership(told: Any) -> Membership:
+    """Raises ValueError that names the key."""
+    if not isinstance(told, dict) or set(told) - {"cluster", "listen", "seeds"}:
+        raise ValueError("membership may hold cluster, listen and seeds")
+    cluster, seeds = told.get("cluster"), told.get("seeds", [])
+    if not isinstance(cluster, str) or not 0 < len(cluster) <= MOST_WORD or not cluster.isprintable():
+        raise ValueError(f"membership.cluster is {cluster!r}, not a text of 1 to {MOST_WORD} characters")
+    if not isinstance(seeds, list) or not all(isinstance(seed, str) for seed in seeds):
+        raise ValueError(f"membership.seeds is {seeds!r}, not a list of HOST:PORT")
+    if not isinstance(told.get("listen"), str):
+        raise ValueError(f"membership.listen is {told.get('listen')!r}, not HOST:PORT")
+    return Membership(cluster, read_address(told["listen"]), tuple(read_address(seed) for seed in seeds))
+
+
+class Member(asyncio.DatagramProtocol):
+    """One process of the cluster. `meta` tells what it says of itself, whenever that is asked."""
+
+    def __init__(self, config: Membership, name: str, meta: Callable[[], dict[str, str]]) -> None:
+        self.config, self.name, self.meta = config, name, meta
+        self.transport: asyncio.DatagramTransport
+        self.swim: Swim
+        self.timer: asyncio.TimerHandle | None = None
+
+    async def start(self) -> int:
+        """Raises OSError. Returns the port. Incarnations go on from the clock over restarts."""
+        loop = asyncio.get_running_loop()
+        self.transport, _ = await loop.create_datagram_endpoint(lambda: self, local_addr=self.config.listen)
+        place = self.transport.get_extra_info("sockname")[:2]
+        self.swim = Swim(self.config.cluster, self.name, place, int(time.time() * 1000),
+                         list(self.config.seeds), random.Random(), monotonic(), self.meta())
+        self.turn()
+        return place[1]
+
+    def datagram_received(self, data: bytes, addr: Any) -> None:
+        self.send(self.swim.receive(monotonic(), (addr[0], addr[1]), data))
+
+    def error_received(self, exc: Exception) -> None:
+        """Nobody listens there: a probe without an ack says the same."""
+
+    def send(self, sends: list[Send]) -> None:
+        for send in sends:
+            self.transport.sendto(send.data, send.to)
+
+    def turn(self) -> None:
+        now = monotonic()
+        fresh = self.meta()
+        if fresh != self.swim.me.meta:  # such as another version of the configuration
+            self.swim.tell(fresh)
+        self.send(self.swim.tick(now))
+        delay = max(0.0, self.swim.due() - monotonic())
+        self.timer = asyncio.get_running_loop().call_later(delay + 0.001, self.turn)
+
+    def told(self) -> dict[str, Any]:
+        """What operators see. Those whose configuration version differs from this one's are named."""
+        now, own = monotonic(), self.swim.me.meta
+        rows = [{"name": m.name, "address": write_address(m.address), "state": m.state,
+                 "for": round(now - m.since, 1), "incarnation": m.incarnation, **m.meta}
+                for m in sorted(self.swim.members.values(), key=lambda m: m.name)]
+        disagree = [m.name for m in self.swim.members.values()
+                    if m.state == ALIVE and m.meta.get("config") != own.get("config")]
+        return {"cluster": self.config.cluster, "name": self.name, "members": rows,
+                "disagree": sorted(disagree), "health": self.swim.doubt, "counts": self.swim.counts}
+
+    def close(self) -> None:
+        """Leaves on purpose."""
+        if self.timer is not None:
+            self.timer.cancel()
+        self.send(self.swim.leave(monotonic()))
+        self.transport.close()
--- a/calicomast/net/config.py
+++ b/calicomast/net/config.py
@@ -41,6 +41,7 @@
     keep: bool  # whether its list outlasts the process
     replicas: bool  # whether the file has the key for these two
     edge: Any  # an admission.Edge: limits on new connections of clients; None: none
+    membership: Any  # a membership.service.Membership: where this process takes part; None: nowhere
     tree: dict[str, Any]  # the file itself: a later one must be as complete
 
 
@@ -78,7 +79,8 @@
     """What `tree` says; what a process that runs cannot change stays as it is."""
     return replace(build(tree, {}), name=last.name, listen=last.listen, inherited=last.inherited,
                    control=last.control, scratch=last.scratch, seed=last.seed, known=last.known,
-                   others=last.others, keep=last.keep, replicas=last.replicas, edge=last.edge)
+                   others=last.others, keep=last.keep, replicas=last.replicas, edge=last.edge,
+                   membership=last.membership)
 
 
 def complete(last: Any, fresh: Any, name: str) -> None:
@@ -136,7 +138,15 @@
         known=read_list(told["known"], "cached"), settings=settings,
         connect_timeout=seconds(limits["connect_timeout"]), idle_close=seconds(limits["idle_close"]),
         max_open=int(limits["max_open"]), others=others, keep=keep, replicas="replicas" in told,
-        edge=edge_of(told["edge"]) if "edge" in told else None, tree=told)
+        edge=edge_of(told["edge"]) if "edge" in told else None,
+        membership=membership_of(told["membership"]) if "membership" in told else None, tree=told)
+
+
+def membership_of(told: Any) -> Any:
+    """Imported where there is one only."""
+    from calicomast.membership.service import read_membership
+
+    return read_membership(told)
 
 
 def edge_of(told: Any) -> Any:
--- a/calicomast/net/control.py
+++ b/calicomast/net/control.py
@@ -46,6 +46,7 @@
         self.listener: asyncio.Server | None = None
         self.calls: dict[str, tuple[str, Callable[[web.BaseRequest], Answer | Awaitable[Answer]]]] = {
             "/status": ("GET", self.status),
+            "/members": ("GET", self.members),
             "/config": ("GET", self.config),
             "/config/history": ("GET", self.history),
             "/config/check": ("POST", self.check),
@@ -107,6 +108,12 @@
             return 409, {"error": "this process is at its end"}
         return 200, {"state": self.node.state}
 
+    def members(self, request: web.BaseRequest) -> Answer:
+        names(request)
+        if self.node.member is None:
+            return 404, {"error": "this process is in no cluster"}
+        return 200, self.node.member.told()
+
     def config(self, request: web.BaseRequest) -> Answer:
         names(request)
         return 200, self.node.changes.whole()
--- a/calicomast/net/gateway.py
+++ b/calicomast/net/gateway.py
@@ -22,7 +22,7 @@
 from calicomast.net.counter import Counter
 from calicomast.net.discovery import Discovery
 from calicomast.net.hosts import Attempt, Hosts
-from calicomast.net.listing import Address, Listing
+from calicomast.net.listing import Address, Listing, write_address
 from calicomast.net.lives import Lives
 from calicomast.net.resp import MOST_LARGE
 from calicomast.policy import Gateway
@@ -124,6 +124,7 @@
         self.processes = 1  # of this gateway, as far as the last look told
         self.control: Any = None  # a Control, where operators may call
         self.changes: Any = None  # a Changes, from the first time on that one is needed
+        self.member: Any = None  # a membership.service.Member, where this process takes part
         self.counter = Counter(config.counter, self.settings.counter_timeout) if config.counter else None
         # Where lists are pushed, asking costs nothing; else what is known need not be told again.
         known = config.known.hosts
@@ -160,6 +161,11 @@
         if self.settings.discovery == "push":
             self.discovery.watch(True)
         port = await self.clients.listen(*self.config.listen, self.config.inherited, self.config.edge)
+        if self.config.membership:
+            from calicomast.membership.service import Member
+
+            self.member = Member(self.config.membership, self.config.name, self.meta)
+            log.info("membership of %s at port %d", self.config.membership.cluster, await self.member.start())
         if self.config.control:
             from calicomast.net.control import Control
 
@@ -496,6 +502,13 @@
                 "clients": len(self.clients.clients), "list": self.discovery.told_of(),
                 **({"edge": self.clients.listener.gate.counts} if self.config.edge else {})}
 
+    def meta(self) -> dict[str, str]:
+        """What this process tells the others of its cluster."""
+        told = {"kind": "gateway", "listen": write_address(self.config.listen)}
+        if self.config.control:
+            told |= {"control": write_address(self.config.control), "config": self.changes.current.digest}
+        return told
+
     def hand(self, host: str, out: bool) -> None:
         """Takes a host out, or lets it be used again. A repeat changes nothing."""
         self.read_bans()
@@ -559,6 +572,8 @@
             self.changes.close()
         if self.looking:
             self.looking.cancel()
+        if self.member:
+            self.member.close()
         self.hosts.close()
         if self.counter:
             self.counter.close()
--- a/calicomast/net/keys.py
+++ b/calicomast/net/keys.py
@@ -111,6 +111,7 @@
     Key("known", OBJECT, False, "the list at the start; discovery has told newer ones"),
     Key("replicas", OBJECT, False, "read at the start"),
     Key("edge", OBJECT, False, "read at the start"),
+    Key("membership", OBJECT, False, "read at the start"),
     Key("discovery", ADDRESS, True, "the watch begins again there; the last list stays until it answers"),
     Key("counter", ADDRESS, True, "each line moves once its calls are answered; it cannot come or go"),
     Key("limits", OBJECT, True, "room is shared out anew"),
--- a/tests/netkit.py
+++ b/tests/netkit.py
@@ -285,6 +285,8 @@
         self.node.clients.close()
         self.node.control.close()
         self.node.changes.close()
+        if self.node.member:
+            self.node.member.close()
         self.node.lives.end()
         self.node.hosts.close()
         self.node.counter.close()
--- /dev/null
+++ b/tests/test_membership_service.py
@@ -0,0 +1,85 @@
+"""Gateways that take part in a cluster, on loopback."""
+
+import json
+import os
+import subprocess
+import sys
+
+import pytest
+from netkit import SERVED, Node, StubHost, command, entry, on_loop, told, until
+
+from calicomast.membership.service import read_membership
+
+
+def member(name, *seeds, cluster="c1"):
+    return {"name": name, "membership": {"cluster": cluster, "listen": "127.0.0.1:0",
+                                         "seeds": [f"127.0.0.1:{port}" for port in seeds]}}
+
+
+def port(node):
+    return node.node.member.transport.get_extra_info("sockname")[1]
+
+
+async def members(node):
+    status, seen = await node.call("GET /members")
+    assert status == 200
+    return {row["name"]: row for row in seen["members"]}, seen
+
+
+@on_loop
+async def test_operators_see_who_is_there_who_is_gone_and_who_disagrees(tmp_path):
+    for name in "abc":
+        (tmp_path / name).mkdir()
+    async with StubHost() as host, Node(host, path=tmp_path / "a", more=member("a")) as one:
+        async with Node(host, path=tmp_path / "b", more=member("b", port(one))) as two:
+            async with Node(host, path=tmp_path / "c", more=member("c", port(one))) as three:
+                whole = dict.fromkeys("abc", "alive")
+                for node in (one, two, three):
+                    await until(lambda node=node: node.node.member.swim.view() == whole)
+                rows, seen = await members(two)
+                assert rows["a"]["kind"] == "gateway" and rows["a"]["config"] and rows["c"]["for"] >= 0
+                assert seen["disagree"] == ["a", "c"]  # each has a counter and a discovery of its own
+                digest = one.node.changes.current.digest
+                text = json.loads(json.dumps(one.node.changes.current.content))
+                text["settings"]["plans"][0]["rate"] = 7.0
+                await one.node.changes.apply(json.dumps(text).encode(), 1, None)
+                await until(lambda: two.node.member.swim.members["a"].meta["config"] not in (digest, None))
+            await until(lambda: two.node.member.swim.members["c"].state == "left")
+            assert (await members(one))[0]["c"]["state"] == "left"
+            assert await one.ask(command()) == SERVED
+
+
+@on_loop
+async def test_another_cluster_is_not_heard(tmp_path):
+    for name in "ab":
+        (tmp_path / name).mkdir()
+    async with Node(path=tmp_path / "a", more=member("a")) as one:
+        async with Node(path=tmp_path / "b", more=member("b", port(one), cluster="other")) as two:
+            await until(lambda: one.node.member.swim.counts["foreign"] > 0)
+            assert list(two.node.member.swim.view()) == ["b"] and list(one.node.member.swim.view()) == ["a"]
+
+
+@on_loop
+async def test_without_the_key_there_is_no_cluster(tmp_path):
+    async with StubHost() as host, Node(host, path=tmp_path) as node:
+        assert (await node.call("GET /members"))[0] == 404 and node.node.member is None
+
+
+@pytest.mark.parametrize("odd", [
+    5, {}, {"cluster": "c"}, {"cluster": "", "listen": "127.0.0.1:0"}, {"cluster": "c", "listen": "x"},
+    {"cluster": "c", "listen": "127.0.0.1:0", "seeds": "x"},
+    {"cluster": "c", "listen": "127.0.0.1:0", "more": 1},
+    {"cluster": "c", "listen": "127.0.0.1:0", "seeds": ["x"]}])
+def test_malformed_membership_is_refused(odd):
+    with pytest.raises(ValueError):
+        read_membership(odd)
+
+
+def test_a_bad_address_ends_the_start_in_one_line(tmp_path):
+    tree = told([entry(None, port=9)], 1, 2) | member("a")
+    tree["membership"]["listen"] = "127.0.0.1:x"
+    (tmp_path / "config.json").write_text(json.dumps(tree))
+    env = {**os.environ, "RELAY_CONFIG": str(tmp_path / "config.json")}
+    ended = subprocess.run([sys.executable, "-m", "calicomast.net"], env=env, capture_output=True, text=True,
+                           timeout=60)
+    assert ended.returncode == 2 and ended.stderr.count("\n") == 1
--- a/tests/test_net_changes.py
+++ b/tests/test_net_changes.py
@@ -584,7 +584,7 @@
                 await asyncio.sleep(0.05)
                 names = ("changes", "keys", "control", "calls", "replicas", "admission")
                 assert not [n for n in names if "calicomast.net." + n in sys.modules], "imported"
-                assert "aiohttp.web" not in sys.modules
+                assert "aiohttp.web" not in sys.modules and "calicomast.membership" not in sys.modules
                 files = [f for f in os.listdir(os.environ["TMPDIR"]) if "-life-" not in f]
                 assert not files and node.changes is None, files
                 node.reload()
