Fit each connection's commands in work to what hosts have room for, by the key edge

Cause: with turns alone a pipeline still had up to 512 commands in work. Where hosts are the limit (four of 20 ms) these filled the module's queue, and light clients were refused with the rest: 27 % beside one pipeline, 80 % beside four. Change: the module says of a refusal whether hosts had no room; each connection has a window of commands in work that halves at such a refusal and grows by one a window, as TCP's does. What is past it waits unread.

--- a/calicomast/interface.py
+++ b/calicomast/interface.py
@@ -257,6 +257,7 @@
 class Refuse:
     id: str
     retry_after: float = 0
+    pressed: bool = False  # hosts had no room for it, so more of the same sender find none either
 
 
 @dataclass(frozen=True, slots=True)
--- a/calicomast/net/admission.py
+++ b/calicomast/net/admission.py
@@ -30,6 +30,7 @@
 MOST_SOURCES = 4096  # that are remembered; past that the ones that rest longest are forgotten
 QUANTUM = 4.0  # commands that a connection or a source may have taken before the next one's turn
 COMMAND_BYTES = 1024  # bytes that count as much as a command by itself
+WINDOW, WINDOW_LEAST = 32.0, 4.0  # commands of a connection in work: at first; however pressed hosts are
 LOT = 8.0  # commands that are taken before answers and new bytes are looked at again: some 2 ms
 EMPTY = {errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ENOBUFS}
 REFUSED = b"-ERR too many connections\r\n"
@@ -289,6 +290,9 @@
     def __init__(self, server: ClientServer, turns: Turns, origin: Origin | None) -> None:
         super().__init__(server)
         self.turns, self.origin, self.credit, self.queued = turns, origin, QUANTUM, False
+        self.window = WINDOW  # commands in work past which it gets no turn; one more with each window taken
+        self.taken = 0  # commands
+        self.spared = 0  # of them, those that were in work when the window was last halved
 
     def commands(self) -> None:
         self.unlooked = True
@@ -308,6 +312,8 @@
                     self.unlooked = False
                     self.expect()
                 else:
+                    self.taken += 1
+                    self.window = min(MOST_PENDING, self.window + 1 / self.window)
                     self.take(command)
                     spent += cost(command)
         except hiredis.ProtocolError:
@@ -319,7 +325,13 @@
         return spent, self.unlooked and self.may()
 
     def may(self) -> bool:
-        return not self.paused and len(self.pending) < MOST_PENDING
+        return not self.paused and len(self.pending) < self.window
+
+    def pressed(self) -> None:
+        """Halves the window, once for all that was in work when hosts had no room."""
+        if self.taken > self.spared:
+            self.window = max(WINDOW_LEAST, self.window / 2)
+            self.spared = self.taken + len(self.pending)
 
     def throttle(self) -> None:
         super().throttle()
--- a/calicomast/net/clients.py
+++ b/calicomast/net/clients.py
@@ -257,6 +257,9 @@
         elif self.flooded:
             self.throttle()
 
+    def pressed(self) -> None:
+        """A command of it was refused because hosts had no room."""
+
     def pause_writing(self) -> None:
         self.paused = True
         self.throttle()
--- a/calicomast/net/gateway.py
+++ b/calicomast/net/gateway.py
@@ -355,6 +355,8 @@
     def refuse(self, action: api.Refuse) -> None:
         if action.id in self.works:
             wait = math.ceil(action.retry_after * 1000)
+            if action.pressed:
+                self.works[action.id].slot.client.pressed()
             self.finish(self.works[action.id], b"-BUSY %d\r\n" % wait if wait > 0 else BUSY)
 
     def fail(self, action: api.Fail) -> None:
--- a/calicomast/policy.py
+++ b/calicomast/policy.py
@@ -809,7 +809,7 @@
         ran = job.cls.effect != "safe" and (job.cls.effect, job.cls.scope) != ("keyed", "all")
         if not (ran and (job.ran or job.live)):
             most = job.limits.max_retry_after if job.limits.retry_after else 0.0
-            self.out.append(api.Refuse(job.req.id, min(max(wait, 0.0), most)))
+            self.out.append(api.Refuse(job.req.id, min(max(wait, 0.0), most), job.stage == "queue"))
         else:
             self.out.append(api.Fail(job.req.id))
         self.close(now, job)
--- a/tests/test_net_turns.py
+++ b/tests/test_net_turns.py
@@ -1,5 +1,6 @@
 """Turns among connections with commands waiting: fair by cost and weight, newcomers soon, order kept."""
 
+import asyncio
 import random
 import socket
 from collections import deque
@@ -227,3 +228,54 @@
         writer.write(HOG)
         assert {(await read_reply(reader))[:1] for _ in range(400)} <= {b"$", b"-"}
         assert max(seen) == 8 and len(seen) == 400
+
+
+class Full:
+    """A handler with room for so many in work; it refuses what comes past that as the module does."""
+
+    def __init__(self, room):
+        self.room, self.work, self.refused, self.served = room, deque(), 0, 0
+        self.most = 0
+
+    def command(self, slot, told):
+        if len(self.work) >= self.room:
+            self.refused += 1
+            slot.client.pressed()
+            slot.reply(b"-BUSY\r\n")
+            return
+        self.work.append(slot)
+        self.most = max(self.most, len(slot.client.pending))
+
+    def gone(self, slot):
+        pass
+
+    async def serve(self, until):
+        while self.served + self.refused < until:
+            for slot in [self.work.popleft() for _ in range(min(4, len(self.work)))]:
+                self.served += 1
+                slot.reply(SERVED)
+            await asyncio.sleep(0)
+
+
+@pytest.mark.parametrize("halves", [True, False])
+@on_loop
+async def test_pipelines_fit_themselves_to_what_hosts_have_room_for(halves, monkeypatch):
+    """Additive increase, multiplicative decrease: few are refused, and the room is used."""
+    if not halves:  # planted: what the module says of pressure is not heard
+        monkeypatch.setattr(admission.FairClient, "pressed", lambda self: None)
+    handler = Full(room=20)
+    server = clients.ClientServer(handler, 100)
+    port = await server.listen("127.0.0.1", 0, edge=admission.read_edge({}))
+    pairs = [await asyncio.open_connection("127.0.0.1", port) for _ in range(2)]
+    for _, writer in pairs:
+        writer.write(HOG * 5)
+    readers = [asyncio.create_task(reader.read(-1)) for reader, _ in pairs]
+    await handler.serve(2000 * len(pairs))
+    assert (handler.refused < 0.05 * handler.served) == halves
+    assert handler.most >= 8  # neither pipeline has all of the room, nor next to none
+    server.finish()
+    for _, writer in pairs:
+        writer.write_eof()
+    got = b"".join(await asyncio.gather(*readers))
+    assert got.count(SERVED) + got.count(b"-BUSY") == 4000
+    server.close()
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -292,3 +292,11 @@
     assert len(sent) == 2 and w.gw.fleet.out == 2
     acts = w.do(api.Began(sent[0].id, 0, "h1", 0.1))
     assert len(of(acts, api.Send)) == 1 and w.gw.fleet.out == 2
+
+
+def test_a_refusal_tells_whether_hosts_had_no_room():
+    w = World(settings(plans=[BIG, plan("small", rate=0.01, burst=1.0)], gateways=1))
+    pressed = [a for n in range(300) for a in of(w.ask(customer=f"c{n}", spread=1)[1], api.Refuse)]
+    beyond = [a for _ in range(5) for a in of(w.ask(customer="s", plan="small", spread=1)[1], api.Refuse)]
+    assert pressed and all(a.pressed for a in pressed)
+    assert [a for a in beyond if not a.pressed]
