Front door: ./cinderrouter demo and test, stand-ins as a package of the product

Need: a newcomer could not start anything; the stand-ins lay hidden under tests/, and no configuration shipped. Change: a launcher that makes its environment once (again when pins change or one is half-made; two at once wait for each other); demo starts a list service, a counter, hosts that register themselves and gateways on loopback with traffic of 21 customers, shows a live table or one JSON object, kills a gateway and silences the counter on request, and leaves nothing behind, also when it is killed. Hosts, counter and discovery are calicomast/standins/, with faults switched by calls; the tests use the same ones. The libraries of the command are an extra; what run imports is held by a test.

--- /dev/null
+++ b/calicomast/demo/fleet.py
@@ -0,0 +1,211 @@
+"""The processes of a demo: each is started, asked for readiness, and ends with the demo, however it ends."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import ctypes
+import json
+import os
+import signal
+import socket
+import sys
+from asyncio.subprocess import DEVNULL, PIPE, Process
+from collections.abc import Callable, Mapping
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+
+from calicomast.standins.site import BASE, Json, S, config
+
+READY_WITHIN = 20.0  # s for a process to be ready
+ENDS_WITHIN = 5.0  # s after SIGTERM at which a process is killed
+PR_SET_PDEATHSIG = 1
+ZONES = ("a", "b")
+
+CLASSES = [  # times in seconds: wanted within, deadline
+    {"name": "reading", "slo": 6 * S // 5, "deadline": 3 * S, "effect": "pure", "gain": 1.0},
+    {"name": "statement", "slo": 2 * S, "deadline": 4 * S, "effect": "pure", "gain": 2.0},
+    {"name": "settlement", "slo": 2 * S, "deadline": 5 * S, "effect": "token", "gain": 5.0,
+     "dedup_scope": "all", "memory_span": 15 * S}]
+PLANS = [
+    {"name": "village", "rate": 2.0, "most_at_once": 8.0, "value_factor": 0.9, "over_cost": 0.5},
+    {"name": "cooperative", "rate": 5.0, "most_at_once": 20.0, "value_factor": 1.3, "over_cost": 1.2},
+    {"name": "utility", "rate": 20.0, "most_at_once": 60.0, "value_factor": 1.6, "over_cost": 0.8}]
+
+
+class StartFailed(Exception):
+    """A process of the demo did not come up; the text says which and why in one line."""
+
+
+def die_with(parent: int) -> Callable[[], None]:
+    """In a child before its program begins: the kernel ends it once its parent is gone, even by SIGKILL."""
+    libc = ctypes.CDLL(None, use_errno=True)
+
+    def act() -> None:
+        libc.prctl(PR_SET_PDEATHSIG, signal.SIGTERM)
+        if os.getppid() != parent:
+            os._exit(1)
+
+    return act
+
+
+def free_port() -> int:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+class Part:
+    """One process. Its log is FOLDER/NAME.log; a start again appends to it."""
+
+    def __init__(self, name: str, folder: Path, module: str, *args: str, env: Mapping[str, str] = {}) -> None:  # noqa: B006
+        self.name, self.folder, self.command = name, folder, ("-B", "-m", module, *args)
+        self.env = {**os.environ, **env}
+        self.process: Process | None = None
+        self.wanted = False  # whether it ought to run
+        self.places: dict[str, str] = {}
+
+    async def start(self, told: bool = False) -> None:
+        """`told`: its first line says where it listens."""
+        with open(self.log, "ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable, *self.command, env=self.env, stdin=DEVNULL, stdout=PIPE if told else log,
+                stderr=log, start_new_session=True, preexec_fn=die_with(os.getpid()))
+        self.wanted = True
+        if told:
+            assert self.process.stdout is not None
+            try:
+                async with asyncio.timeout(READY_WITHIN):
+                    line = await self.process.stdout.readline()
+                self.places = json.loads(line)
+            except (TimeoutError, ValueError) as err:
+                raise StartFailed(self.why()) from err
+
+    @property
+    def log(self) -> Path:
+        return self.folder / f"{self.name}.log"
+
+    @property
+    def alive(self) -> bool:
+        return self.process is not None and self.process.returncode is None
+
+    def why(self) -> str:
+        """The last line of its log."""
+        lines = self.log.read_text(errors="replace").strip().splitlines() if self.log.exists() else []
+        return f"{self.name}: {lines[-1] if lines else 'did not come up'}"
+
+    def signal(self, number: int) -> None:
+        if self.alive:
+            assert self.process is not None
+            with contextlib.suppress(ProcessLookupError):
+                self.process.send_signal(number)
+
+    async def kill(self) -> None:
+        self.wanted = False
+        self.signal(signal.SIGKILL)
+        if self.process is not None:
+            await self.process.wait()
+
+    async def stop(self) -> None:
+        self.wanted = False
+        self.signal(signal.SIGTERM)
+        if self.process is not None:
+            try:
+                async with asyncio.timeout(ENDS_WITHIN):
+                    await self.process.wait()
+            except TimeoutError:
+                await self.kill()
+
+
+class Fleet:
+    """A list service, a counter, hosts that register themselves, and gateways, all on 127.0.0.1."""
+
+    def __init__(self, folder: Path, gateways: int, hosts: int, work: float = 0.02) -> None:
+        self.folder, self.work = folder, work
+        self.registry_at, self.listed = f"127.0.0.1:{free_port()}", 0
+        self.files = {"registry.json": {"listen": self.registry_at, "learn_ms": 0}}
+        self.registry = self.part("registry", "calicomast.registry",
+                                  env={"REGISTRY_CONFIG": str(folder / "registry.json")})
+        self.counter = self.stand_in("counter", "counter")
+        self.hosts = [self.stand_in(
+            f"host-{n}", "host", "--name", f"host-{n}", "--zone", ZONES[n % len(ZONES)], "--work", str(work),
+            "--register", self.registry_at, "--seed", str(n)) for n in range(hosts)]
+        self.gateways = [self.gateway(n) for n in range(gateways)]
+        self.session: Any = None
+
+    def part(self, name: str, module: str, *args: str, env: Mapping[str, str] = {}) -> Part:  # noqa: B006
+        return Part(name, self.folder, module, *args, env=env)
+
+    def stand_in(self, name: str, kind: str, *args: str) -> Part:
+        return self.part(name, "calicomast.cli", "standin", kind, *args)
+
+    def gateway(self, number: int) -> Part:
+        name, folder = f"gateway-{number}", self.folder / f"gateway-{number}"
+        folder.mkdir(exist_ok=True)
+        made = self.part(name, "calicomast.net", env={
+            "RELAY_CONFIG": str(self.folder / f"{name}.json"), "TMPDIR": str(folder)})
+        made.places = {"listen": f"127.0.0.1:{free_port()}", "control": f"127.0.0.1:{free_port()}"}
+        return made
+
+    def parts(self) -> list[Part]:
+        return [self.registry, self.counter, *self.hosts, *self.gateways]
+
+    async def start(self) -> None:
+        """Raises StartFailed."""
+        self.session = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=1.0))
+        for name, tree in self.files.items():
+            (self.folder / name).write_text(json.dumps(tree))
+        await asyncio.gather(self.registry.start(), self.counter.start(told=True),
+                             *(host.start(told=True) for host in self.hosts))
+        servers = (await self.until(self.registry, f"http://{self.registry_at}/v1/endpoints",
+                                    lambda told: len(told["servers"]) == len(self.hosts)))["servers"]
+        for number, part in enumerate(self.gateways):
+            settings = BASE | {"services": CLASSES, "plans": PLANS, "index": number,
+                               "group_size": len(self.gateways), "locality": ZONES[number % len(ZONES)]}
+            tree: Json = config(servers, self.registry_at, self.counter.places["listen"], settings,
+                                part.name, part.places["listen"])
+            tree |= {"seed": f"{number + 1:x}", "control": part.places["control"], "edge": {}}
+            (self.folder / f"{part.name}.json").write_text(json.dumps(tree))
+        await asyncio.gather(*(self.begin(part) for part in self.gateways))
+
+    async def begin(self, part: Part) -> None:
+        await part.start()
+        await self.until(part, f"http://{part.places['control']}/status", lambda told: told["ready"])
+
+    async def until(self, part: Part, url: str, fits: Callable[[Any], bool]) -> Any:
+        """What is told at `url` once that fits."""
+        try:
+            async with asyncio.timeout(READY_WITHIN):
+                while part.alive:
+                    told = await self.ask(url)
+                    if told is not None and fits(told):
+                        return told
+                    await asyncio.sleep(0.05)
+        except TimeoutError:
+            pass
+        raise StartFailed(part.why())
+
+    async def ask(self, url: str, method: str = "GET") -> Any:
+        """The JSON told there; None where nobody says yes."""
+        try:
+            async with self.session.request(method, url) as answer:
+                return await answer.json() if answer.status == 200 else None
+        except (aiohttp.ClientError, TimeoutError, ValueError):
+            return None
+
+    async def counter_silent(self, on: bool) -> None:
+        await self.ask(f"http://{self.counter.places['control']}/faults?silent={int(on)}", "POST")
+
+    def died(self) -> list[str]:
+        """Processes that ended by themselves."""
+        return [part.name for part in self.parts() if part.wanted and not part.alive]
+
+    async def stop(self) -> None:
+        """Gateways first, while what they need is still there."""
+        await asyncio.gather(*(part.stop() for part in self.gateways))
+        await asyncio.gather(*(part.stop() for part in (*self.hosts, self.counter)))
+        await self.registry.stop()
+        if self.session is not None:
+            await self.session.close()
--- a/calicomast/net/admission.py
+++ b/calicomast/net/admission.py
@@ -418,6 +418,14 @@
             ended()
             sock.close()
 
+    def status(self) -> dict[str, Any]:
+        """Connections by what became of them, and the turns: who waits, and how much one may have in work."""
+        if self.turns is None:
+            return self.gate.counts
+        windows = [client.window for client in self.server.clients if isinstance(client, FairClient)]
+        told = [int(min(windows, default=WINDOW)), int(max(windows, default=WINDOW))]
+        return {**self.gate.counts, "turns": self.turns.waiting(), "windows": told}
+
     def close(self) -> None:
         if self.timer is not None:
             self.timer.cancel()
--- a/calicomast/net/gateway.py
+++ b/calicomast/net/gateway.py
@@ -502,7 +502,7 @@
         return {"ready": ready, "state": self.state, "hosts": sorted(self.hosts.pools),
                 "hosts_out": sorted(self.hosts.out), "requests": len(self.works),
                 "clients": len(self.clients.clients), "list": self.discovery.told_of(),
-                **({"edge": self.clients.listener.gate.counts} if self.config.edge else {})}
+                **({"edge": self.clients.listener.status()} if self.config.edge else {})}
 
     def meta(self) -> dict[str, str]:
         """What this process tells the others of its cluster."""
--- a/tests/netkit.py
+++ b/tests/netkit.py
@@ -5,25 +5,23 @@
 import json
 import os
 
-import hiredis
 import uvloop
-from aiohttp import web
 
 from calicomast.net.config import read_config
 from calicomast.net.gateway import GatewayNode
+from calicomast.standins import site
+from calicomast.standins.counter import Counter as StubCounter
+from calicomast.standins.discovery import Discovery as StubDiscovery
+from calicomast.standins.host import VALUE
+from calicomast.standins.host import Host as StubHost
 
 PATIENCE = 20  # s for a test as a whole: far over what any needs
 TERMS = b"c=read,t=p,d=3000,units=1,spread=1,first=0"
-VALUE = b"*3\r\n$5\r\nvalue\r\n$-1\r\n$-1\r\n"
 SERVED = b"$5\r\nvalue\r\n"
 
-SETTINGS = {
-    "group_size": 1, "index": 0, "locality": "a", "registry_mode": "pushed",
-    "limits": {"cancel": True, "second_copies": False, "probes": True, "max_attempts": 3, "retry_after": True,
-               "max_retry_after": 2_000_000_000, "connect_timeout": 250_000_000,
-               "idle_close": 30_000_000_000, "max_open": 20000},
-    "rules": {"answer_slack": 8_000_000, "drain_grace": 1_000_000_000, "start_capacity": 0.2,
-              "cold": 1_000_000_000, "fall_multiple": 2.0, "tip_after": 1_000_000_000},
+__all__ = ["StubHost", "StubCounter", "StubDiscovery", "VALUE"]
+
+SETTINGS = site.BASE | {
     "services": [
         {"name": "read", "slo": 1_000_000_000, "deadline": 3_000_000_000, "effect": "pure", "gain": 1.0},
         {"name": "write", "slo": 1_000_000_000, "deadline": 3_000_000_000, "effect": "token", "gain": 1.0,
@@ -31,11 +29,7 @@
         {"name": "note", "slo": 1_000_000_000, "deadline": 3_000_000_000, "effect": "side_effect",
          "gain": 1.0}],
     "plans": [{"name": "p", "rate": 1000.0, "most_at_once": 10000.0},
-              {"name": "small", "rate": 1.0, "most_at_once": 1.0}],
-    "prices": {"cross_zone": 0.005}, "reporting": {"names": ["active"], "via": "answers"},
-    "specifics": {"shared_counter": True, "counter_price": 0.01, "counter_timeout": 80_000_000,
-                  "units_top": 1},
-    "weights": "none"}
+              {"name": "small", "rate": 1.0, "most_at_once": 1.0}]}
 
 
 def on_loop(test):
@@ -87,150 +81,13 @@
         await asyncio.sleep(0.01)
 
 
-class Served:
-    """A listener on a free port of 127.0.0.1."""
-
-    def __init__(self):
-        self.writers = []
-
-    async def __aenter__(self):
-        self.server = await asyncio.start_server(self.joined, "127.0.0.1", 0)
-        self.port = self.server.sockets[0].getsockname()[1]
-        return self
-
-    async def joined(self, reader, writer):
-        self.writers.append(writer)
-        try:
-            await self.serve(reader, writer)
-        except (ConnectionError, asyncio.IncompleteReadError):
-            pass
-        finally:
-            writer.close()
-
-    async def __aexit__(self, *_):
-        self.server.close()
-        for writer in self.writers:
-            writer.close()
-
-
-class StubHost(Served):
-    """Answers each command with `answer` or what that returns; None: it keeps silent; b"": it breaks off."""
-
-    def __init__(self, answer=VALUE):
-        super().__init__()
-        self.answer, self.commands, self.arrived = answer, [], asyncio.Queue()
-        self.open = 0
-
-    async def serve(self, reader, writer):
-        parser = hiredis.Reader(notEnoughData=...)
-        self.open += 1
-        try:
-            while data := await reader.read(65536):
-                parser.feed(data)
-                while (got := parser.gets()) is not ...:
-                    self.commands.append(got)
-                    self.arrived.put_nowait(got)
-                    answer = self.answer() if callable(self.answer) else self.answer
-                    if answer == b"":
-                        return
-                    if answer is not None:
-                        writer.write(answer)
-        finally:
-            self.open -= 1
-            self.arrived.put_nowait(None)
-
-
-class StubCounter(Served):
-    """Keeps totals; `silent` leaves calls unanswered until `answer_all`; `idle`: s without a line
-    after which it closes a connection."""
-
-    def __init__(self):
-        super().__init__()
-        self.idle, self.pings, self.closed = None, 0, asyncio.Queue()
-        self.calls, self.totals, self.silent, self.held = [], {}, False, []
-        self.arrived = asyncio.Queue()
-
-    async def serve(self, reader, writer):
-        while line := await self.line(reader):
-            words = line.split()
-            if words[0] == b"ping":
-                self.pings += 1
-                writer.write(b"pong\r\n")
-                continue
-            self.calls.append(words)
-            self.totals[words[1]] = self.totals.get(words[1], 0) + float(words[2])
-            answer = b"ok %.7g\r\n" % self.totals[words[1]]
-            self.arrived.put_nowait(words)
-            if self.silent:
-                self.held.append((writer, answer))
-            else:
-                writer.write(answer)
-
-    async def line(self, reader):
-        try:
-            async with asyncio.timeout(self.idle):
-                return await reader.readline()
-        except TimeoutError:
-            self.closed.put_nowait(True)
-            return b""
-
-    def answer_all(self):
-        for writer, answer in self.held:
-            writer.write(answer)
-        self.held = []
-
-
-class StubDiscovery:
-    """Serves `raw` where it is set, else the list; `changes` ends a watch; `silent`: it never answers;
-    `refuses`: it answers 503."""
-
-    def __init__(self):
-        self.servers, self.version, self.raw, self.silent, self.refuses = [], 1, None, False, False
-        self.calls, self.changes = asyncio.Queue(), asyncio.Queue()
-
-    async def answer(self, request):
-        self.calls.put_nowait(dict(request.query))
-        if self.silent:
-            await asyncio.Event().wait()
-        if self.refuses:
-            return web.Response(status=503)
-        if self.raw is not None:
-            raw, self.raw = self.raw, None
-            return web.Response(text=raw)
-        if "index" in request.query:
-            try:
-                async with asyncio.timeout(int(request.query["wait"]) / 1000):
-                    changed = await self.changes.get()
-            except TimeoutError:
-                changed = []
-            self.version += bool(changed)
-            return web.json_response({"version": self.version, "full": False, "servers": changed})
-        return web.json_response({"version": self.version, "full": True, "servers": self.servers})
-
-    async def __aenter__(self):
-        app = web.Application()
-        app.router.add_get("/v1/endpoints", self.answer)
-        self.runner = web.AppRunner(app, shutdown_timeout=0.1)
-        await self.runner.setup()
-        site = web.TCPSite(self.runner, "127.0.0.1", 0)
-        await site.start()
-        self.port = self.runner.addresses[0][1]
-        return self
-
-    async def __aexit__(self, *_):
-        await self.runner.cleanup()
-
-
 def entry(host, name="h1", state="up", port=None):
-    return {"id": name, "addr": f"127.0.0.1:{port or host.port}", "zone": "a", "kind": "k", "cell": 0,
-            "state": state, "weight": 1.0, "started_ms": 0}
+    return site.entry(name, f"127.0.0.1:{port or host.port}", state)
 
 
 def told(listed, discovery_port, counter_port, settings=None):
-    return {"name": "n0", "listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{discovery_port}", "seed": "8c1f",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-            "counter": f"127.0.0.1:{counter_port}",
-            "known": {"version": 1, "full": True, "servers": listed}, "settings": settings or SETTINGS}
+    places = f"127.0.0.1:{discovery_port}", f"127.0.0.1:{counter_port}"
+    return site.config(listed, *places, settings or SETTINGS)
 
 
 class Node:
--- /dev/null
+++ b/tests/test_demo.py
@@ -0,0 +1,183 @@
+"""The command and its demo: what it starts, shows and leaves behind; the launcher; what `run` imports."""
+
+import importlib.machinery
+import importlib.util
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+import urllib.request
+import uuid
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).resolve().parent.parent
+SMALL = ("demo", "--gateways", "2", "--hosts", "2", "--json")
+
+
+class Command:
+    """A process of the command; `left` tells what still runs of all that it started."""
+
+    def __init__(self, *args, cwd=ROOT, program=(sys.executable, "-m", "calicomast.cli"), scratch=None):
+        self.mark, self.scratch = uuid.uuid4().hex, scratch
+        env = {**os.environ, "CINDER_TEST": self.mark} | ({"TMPDIR": str(scratch)} if scratch else {})
+        self.process = subprocess.Popen(
+            [*program, *args], cwd=cwd, env=env, text=True, stdout=subprocess.PIPE, stderr=subprocess.PIPE,
+            start_new_session=True)
+
+    def left(self):
+        """Command lines by process id; those that have ended and are not waited for yet do not count."""
+        found = {}
+        for path in Path("/proc").glob("[0-9]*"):
+            try:
+                if self.mark.encode() in (path / "environ").read_bytes():
+                    found[int(path.name)] = (path / "cmdline").read_bytes().replace(b"\0", b" ").decode()
+            except OSError:
+                pass
+        return {number: line for number, line in found.items() if line}
+
+    def until(self, check, seconds=30):
+        end = time.monotonic() + seconds
+        while not check():
+            assert time.monotonic() < end, "not in time"
+            time.sleep(0.05)
+
+    def asking(self):
+        """Waits until a gateway of the demo has clients."""
+        def clients():
+            try:
+                (file,) = self.scratch.glob("cinderrouter-*/gateway-0.json")
+                control = json.loads(file.read_text())["control"]
+                with urllib.request.urlopen(f"http://{control}/status") as answer:
+                    return json.load(answer)["clients"] > 0
+            except (OSError, ValueError):
+                return False
+
+        self.until(clients)
+
+    def result(self, seconds=60):
+        out, err = self.process.communicate(timeout=seconds)
+        return self.process.returncode, out, err
+
+
+def test_nothing_is_lost_where_a_gateway_dies_and_the_counter_is_silent():
+    command = Command(
+        *SMALL, "--seconds", "6", "--kill-gateway-at", "1.5", "--stop-counter-at", "2", "--for", "1")
+    status, out, err = command.result()
+    told = json.loads(out)
+    assert (status, err) == (0, "") and not command.left()
+    assert told["lost"] == 0 and told["quota_kept"] and told["died"] == []
+    assert told["served"] > 100 and told["refused"] > 10  # some customers ask for more than their quota
+    assert {event["what"] for event in told["events"]} == {
+        "gateway-1 killed", "counter silent", "counter back", "gateway-1 back"}
+    assert all(gateway["alive"] and gateway["served"] for gateway in told["gateways"].values())
+    # Each answer that a client got came from a host; a host may have done more, for a gateway that died.
+    done = sum(host["commands"].get("served", 0) for host in told["hosts"].values())
+    assert done >= told["served"] == sum(c["served"] for c in told["classes"].values())
+
+
+@pytest.mark.parametrize("number", [signal.SIGINT, signal.SIGTERM, signal.SIGHUP])
+def test_a_demo_that_is_ended_tells_what_came_so_far(number, tmp_path):
+    command = Command(*SMALL, scratch=tmp_path)
+    command.asking()
+    command.process.send_signal(number)
+    status, out, err = command.result()
+    assert (status, err) == (0, "") and json.loads(out)["lost"] == 0 and not command.left()
+
+
+def test_all_that_a_demo_started_ends_with_it_when_it_is_killed(tmp_path):
+    command = Command(*SMALL, scratch=tmp_path)
+    command.asking()
+    command.process.kill()
+    command.result()
+    command.until(lambda: not command.left(), 10)
+
+
+def test_a_process_that_dies_is_told_and_the_rest_goes_on(tmp_path):
+    command = Command(*SMALL, scratch=tmp_path)
+    command.asking()
+    (host,) = [number for number, line in command.left().items() if "host-1" in line]
+    os.kill(host, signal.SIGKILL)
+    time.sleep(1.0)
+    command.process.send_signal(signal.SIGINT)
+    status, out, _ = command.result()
+    told = json.loads(out)
+    assert status == 1 and told["died"] == ["host-1"] and told["hosts"]["host-0"]["commands"]["served"] > 0
+
+
+@pytest.mark.parametrize("args, status, why", [
+    (("demo", "--gateways", "0"), 2, "'--gateways'"), (("demo", "--for", "soon"), 2, "'--for'"),
+    (("dance",), 2, "No such command"), (("standin", "counter", "--listen", "7000"), 2, "is not HOST:PORT"),
+    (("standin", "discovery", "--hosts", "none.json"), 2, "none.json"),
+    (("standin", "discovery", "--hosts", "README.md"), 1, "the file of hosts"),
+    (("standin", "counter", "--listen", "192.0.2.1:1"), 1, "192.0.2.1"), (("--help",), 0, "")])
+def test_what_cannot_be_done_is_told_without_a_traceback(args, status, why):
+    ended, out, err = Command(*args).result()
+    assert ended == status and why in err and "Traceback" not in err + out
+
+
+def test_output_that_is_piped_has_no_control_codes():
+    status, out, _ = Command("demo", "--gateways", "1", "--hosts", "1", "--seconds", "1").result()
+    assert status == 0 and "\x1b" not in out and "quota kept: yes" in out and "gateway-0" in out
+
+
+# The launcher
+
+
+@pytest.fixture
+def program(tmp_path):
+    """The launcher beside a command that tells where it runs."""
+    (tmp_path / "calicomast").mkdir()
+    (tmp_path / "calicomast" / "cli.py").write_text("import sys; print(sys.prefix, *sys.argv[1:])")
+    for name in ("requirements.txt", "requirements-dev.txt"):
+        (tmp_path / name).write_text("")
+    (tmp_path / "pyproject.toml").write_text("[project.optional-dependencies]\ncli = []\n")
+    (tmp_path / "cinderrouter").write_bytes((ROOT / "cinderrouter").read_bytes())
+    return tmp_path
+
+
+def launch(folder, *args):
+    return Command(*args, cwd=folder, program=(sys.executable, "cinderrouter"))
+
+
+def test_an_environment_is_made_once_and_again_when_pins_change(program):
+    both = [launch(program, "a"), launch(program, "b")]  # at the same time
+    told = [command.result() for command in both]
+    assert [status for status, _, _ in told] == [0, 0]
+    assert "".join(err for _, _, err in told).count("making") == 1
+    assert told[0][1] == f"{program / '.cinderrouter' / 'run'} a\n"
+    (program / ".cinderrouter" / "run" / "made").unlink()  # what a start that was cut off leaves
+    assert "making" in launch(program).result()[2]
+    (program / "requirements.txt").write_text("# other pins\n")
+    assert "making" in launch(program).result()[2] and "making" not in launch(program).result()[2]
+
+
+def test_an_environment_that_cannot_be_made_is_told_in_one_line(program):
+    (program / "requirements.txt").write_text("no-such==file\n--no-index\n")
+    status, out, err = launch(program).result()
+    assert status == 2 and "no environment could be made" in err and "Traceback" not in err and not out
+
+
+def test_beside_a_program_that_may_not_be_written_the_environment_is_in_the_cache(program, monkeypatch):
+    loader = importlib.machinery.SourceFileLoader("launcher", str(program / "cinderrouter"))
+    launcher = importlib.util.module_from_spec(importlib.util.spec_from_loader("launcher", loader))
+    loader.exec_module(launcher)
+    monkeypatch.setattr(launcher.os, "access", lambda *_: False)
+    monkeypatch.setenv("XDG_CACHE_HOME", str(program / "cache"))
+    assert launcher.place(False).parent.parent == program / "cache" / "cinderrouter"
+
+
+def test_a_gateway_imports_what_it_needs_and_no_part_that_is_off():
+    told = subprocess.run(
+        [sys.executable, "-c", "import calicomast.net.__main__, sys; print(*sorted(sys.modules))"], cwd=ROOT,
+        capture_output=True, text=True, check=True).stdout.split()
+    assert [name for name in told if name.startswith("calicomast")] == [
+        "calicomast", "calicomast.interface", "calicomast.net", "calicomast.net.__main__",
+        "calicomast.net.bans", "calicomast.net.clients", "calicomast.net.config", "calicomast.net.counter",
+        "calicomast.net.discovery", "calicomast.net.gateway", "calicomast.net.hosts",
+        "calicomast.net.listing", "calicomast.net.lives", "calicomast.net.resp", "calicomast.policy",
+        "calicomast.settings"]
+    assert not {"click", "rich", "aiohttp.web"} & set(told)
--- a/tests/test_net_admission.py
+++ b/tests/test_net_admission.py
@@ -75,7 +75,8 @@
     ({"per_source": True}, "edge.per_source"), ({"new": "9"}, "edge.new"), ({"more": 1}, "edge.more"),
     ({"new": float("nan")}, "edge.new"), ({"prefix4": 33}, "edge.prefix4"), ({"fronts": "x"}, "edge.fronts"),
     ({"fronts": ["x"]}, "edge.fronts"), ({"fronts": ["10.0.0.1/8"]}, "edge.fronts"),
-    ({"fronts": [5]}, "edge.fronts"),
+    ({"fronts": [5]}, "edge.fronts"), ({"turns": 1}, "edge.turns"), ({"weights": []}, "edge.weights"),
+    ({"weights": {"10.0.0.0/8": 0}}, "edge.weights.10.0.0.0/8"), ({"weights": {"ten": 1}}, "edge.weights"),
 ])
 def test_malformed_limits_are_refused_with_path_and_reason(told, word):
     with pytest.raises(ValueError, match=word):
--- a/tests/test_net_changes.py
+++ b/tests/test_net_changes.py
@@ -220,8 +220,8 @@
         other.servers, other.version = [entry(two, "h2")], 70
         assert (await apply(node, await candidate(node, discovery=f"127.0.0.1:{other.port}")))[0] == 200
         assert node.node.discovery.version == 70 and list(node.node.hosts.pools) == ["h2"]
-        assert await other.calls.get() == {}  # the contact; the watch goes on from what it told
-        assert (await other.calls.get())["index"] == "70"
+        assert await other.call() == {}  # the contact; the watch goes on from what it told
+        assert (await other.call())["index"] == "70"
 
 
 @on_loop
@@ -243,7 +243,7 @@
         slow.silent = True
         text = await candidate(node, discovery=f"127.0.0.1:{slow.port}", settings__plans__0__rate=5.0)
         call = asyncio.create_task(apply(node, text, 1))
-        await slow.calls.get()
+        await slow.call()
         tree = json.loads(node.file.read_text())
         tree["settings"]["plans"][0]["rate"] = 77.0
         node.file.write_text(json.dumps(tree))
--- a/tests/test_net_control.py
+++ b/tests/test_net_control.py
@@ -61,12 +61,12 @@
     async with StubHost() as one, StubHost() as two, Node(one, two, path=tmp_path) as node:
         while not one.commands:
             assert await node.ask(command(b"a%d" % time.monotonic_ns())) == SERVED
-        assert one.open
+        assert one.connections
         for _ in range(2):
             assert (await node.call("POST /maintenance/enter?host=h1"))[0] == 200
-        await until(lambda: not one.open)  # connections that rest there go too
+        await until(lambda: not one.connections)  # connections that rest there go too
         fresh = entry(one, "h1") | {"started_ms": int(time.time() * 1000)}
-        node.discovery.changes.put_nowait([fresh])  # it was restarted meanwhile
+        node.discovery.change([fresh])  # it was restarted meanwhile
         await until(lambda: node.node.discovery.version == 2)
         before = len(one.commands)
         for n in range(30):
--- a/tests/test_net_discovery.py
+++ b/tests/test_net_discovery.py
@@ -17,9 +17,9 @@
     async with StubHost() as one, StubHost() as two, Node(one, two, path=tmp_path) as node:
         for n in range(4):
             await node.ask(command(b"a%d" % n))
-        await node.discovery.calls.get()
-        node.discovery.changes.put_nowait([entry(one, "h1", "draining")])
-        while (await node.discovery.calls.get()).get("index") != "2":
+        await node.discovery.call()
+        node.discovery.change([entry(one, "h1", "draining")])
+        while (await node.discovery.call()).get("index") != "2":
             pass  # the watch that follows the change: it has been told
         before = len(one.commands)
         for n in range(8):
@@ -31,9 +31,9 @@
 async def test_hosts_move_with_the_list(tmp_path):
     async with StubHost() as old, StubHost() as new, Node(old, path=tmp_path) as node:
         assert await node.ask(command(b"a")) == SERVED
-        await node.discovery.calls.get()
-        node.discovery.changes.put_nowait([entry(new, "h1")])
-        while (await node.discovery.calls.get()).get("index") != "2":
+        await node.discovery.call()
+        node.discovery.change([entry(new, "h1")])
+        while (await node.discovery.call()).get("index") != "2":
             pass
         assert await node.ask(command(b"b")) == SERVED
         assert [c[2] for c in new.commands] == [b"b"]
@@ -44,12 +44,12 @@
 @on_loop
 async def test_malformed_lists_leave_the_last_one_in_force(raw, tmp_path):
     async with StubHost() as host, Node(host, path=tmp_path) as node:
-        await node.discovery.calls.get()
-        await node.discovery.calls.get()
+        await node.discovery.call()
+        await node.discovery.call()
         node.discovery.raw = raw
-        node.discovery.changes.put_nowait([])
+        node.discovery.change([])
         assert await node.ask(command()) == SERVED
-        while "index" in await node.discovery.calls.get():
+        while "index" in await node.discovery.call():
             pass  # it asks for the whole list again
         assert await node.ask(command(b"r2")) == SERVED
 
@@ -85,15 +85,15 @@
     monkeypatch.setattr(discovery, "WAIT", 0.1)
     monkeypatch.setattr(discovery, "ANSWER", 0.2)
     async with StubHost() as host, Node(host, path=tmp_path) as node:
-        while "index" not in await node.discovery.calls.get():
+        while "index" not in await node.discovery.call():
             pass
         node.discovery.silent = True
         for _ in range(3):  # for what has changed since its last list, not for the whole one
-            assert (await node.discovery.calls.get())["index"] == "1"
+            assert (await node.discovery.call())["index"] == "1"
         assert await node.ask(command()) == SERVED
         node.discovery.silent = False
-        node.discovery.changes.put_nowait([entry(host, "h2")])
-        while (await node.discovery.calls.get())["index"] != "2":
+        node.discovery.change([entry(host, "h2")])
+        while (await node.discovery.call())["index"] != "2":
             pass  # it goes on from there
         assert await node.ask(command(b"r2")) == SERVED
         assert caplog.text.count("the last list stays") == 1  # not a line a try
@@ -105,13 +105,13 @@
     asked = {**SETTINGS, "registry_mode": "on_request"}
     async with StubHost() as host, Node(host, path=tmp_path, settings=asked) as node:
         node.discovery.refuses = True
-        node.discovery.changes.put_nowait([])  # ends the watch that may have begun
+        node.discovery.change([])  # ends the watch that may have begun
         for _ in range(3):
-            assert (await node.discovery.calls.get())["index"] == "1"
+            assert (await node.discovery.call())["index"] == "1"
         assert await node.ask(command()) == SERVED
         node.discovery.refuses = False
-        node.discovery.changes.put_nowait([entry(host, "h2")])
-        while (await node.discovery.calls.get())["index"] != "2":
+        node.discovery.change([entry(host, "h2")])
+        while (await node.discovery.call())["index"] != "2":
             pass
         assert caplog.text.count("the last list stays") == 1
         assert "answers again" in caplog.text
@@ -121,7 +121,7 @@
 async def test_where_lists_must_be_asked_for_the_first_call_is_for_changes_of_the_known_one(tmp_path):
     asked = {**SETTINGS, "registry_mode": "on_request"}
     async with StubHost() as host, Node(host, path=tmp_path, settings=asked) as node:
-        assert (await node.discovery.calls.get())["index"] == "1"
+        assert (await node.discovery.call())["index"] == "1"
         assert await node.ask(command()) == SERVED
 
 
@@ -129,7 +129,7 @@
 async def test_without_a_known_host_the_whole_list_is_asked_for(tmp_path):
     asked = {**SETTINGS, "registry_mode": "on_request"}
     async with Node(path=tmp_path, settings=asked) as node:
-        assert "index" not in await node.discovery.calls.get()
+        assert "index" not in await node.discovery.call()
 
 
 def first_calls(gateways):
--- a/tests/test_net_hosts.py
+++ b/tests/test_net_hosts.py
@@ -3,7 +3,7 @@
 import asyncio
 
 import pytest
-from netkit import SERVED, VALUE, Node, StubHost, command, on_loop, terms, write
+from netkit import SERVED, VALUE, Node, StubHost, command, on_loop, terms, until, write
 
 from calicomast import interface as api
 from calicomast.net.hosts import Attempt
@@ -62,9 +62,11 @@
 @on_loop
 async def test_a_late_answer_reaches_nobody(tmp_path):
     async with StubHost(answer=None) as host, Node(host, path=tmp_path) as node:
-        assert (await node.ask(write(cls=b"note", d=300))).startswith(b"-ERR")
-        assert await host.arrived.get() and await host.arrived.get() is None  # the connection went too
-        host.writers[0].write(b"*3\r\n$4\r\nlate\r\n$-1\r\n$-1\r\n")
+        asked = asyncio.create_task(node.ask(write(cls=b"note", d=300)))
+        assert await host.arrived.get()
+        (late,) = host.writers
+        assert (await asked).startswith(b"-ERR") and await host.arrived.get() is None
+        await until(late.is_closing)  # its connection went too, so a late answer has no way
         host.answer = VALUE
         assert await node.ask(command(b"r2")) == SERVED
 
--- a/tests/test_net_large.py
+++ b/tests/test_net_large.py
@@ -128,7 +128,7 @@
         host.writers[0].write(value(BIG)[:200000])
         await reader.readexactly(1000)
         writer.close()
-        await until(lambda: not host.open and not node.node.works)
+        await until(lambda: not host.connections and not node.node.works)
 
 
 @on_loop
--- a/tests/test_net_turns.py
+++ b/tests/test_net_turns.py
@@ -148,6 +148,13 @@
     assert round(cost(told), 1) == price
 
 
+@pytest.mark.parametrize("address, weight", [("10.2.0.9", 4.0), ("10.3.0.1", 0.5), ("192.0.2.1", 1.0),
+                                             ("fe80::1%eth0", 1.0)])
+def test_a_source_has_the_weight_of_the_first_network_that_fits(address, weight):
+    edge = admission.read_edge({"weights": {"10.2.0.0/16": 4, "10.0.0.0/8": 0.5}})
+    assert admission.Gate(edge, 0.0).weight(address) == weight
+
+
 EDGE = {"edge": {}}
 HOG = b"".join(command(b"h%04d" % n, customer=b"%016x" % (n % 50)) for n in range(400))
 
@@ -198,6 +205,8 @@
             await until(lambda: not node.node.works and not node.node.clients.clients)
             await until(lambda: not len(turns.ring))
             assert not turns.origins and not turns.due and not node.node.held
+            told = (await node.call("GET /status"))[1]["edge"]
+            assert told["turns"] == 0 and told["windows"] == [32, 32]
 
 
 @pytest.mark.parametrize("call", ["POST /standby", None])
