Edge: looks at times without connections at rest, vanished peers, half-closed ones, the backlog shown

Looks five times a second went over all connections; smaller limits were refused though resting connections could go; a machine that vanished kept its place for good; a full backlog showed nowhere. Measured: a backlog of 2 shows (3, 2) and overflows under 12 handshakes; 30 connections at rest are looked at never.

--- a/calicomast/demo/fleet.py
+++ b/calicomast/demo/fleet.py
@@ -122,8 +122,10 @@
 class Fleet:
     """A list service, a counter, hosts that register themselves, and gateways, all on 127.0.0.1."""
 
-    def __init__(self, folder: Path, gateways: int, hosts: int, work: float = 0.02) -> None:
-        self.folder, self.work = folder, work
+    def __init__(self, folder: Path, gateways: int, hosts: int, work: float = 0.02, slots: int = 4,
+                 plans: list[Json] = PLANS, more: Json = {"edge": {}}) -> None:  # noqa: B006
+        """`work`: s that a host takes for a command, `slots` at once; `more`: keys of a gateway's file."""
+        self.folder, self.plans, self.more = folder, plans, more
         self.registry_at, self.listed = f"127.0.0.1:{free_port()}", 0
         self.files = {"registry.json": {"listen": self.registry_at, "learn_ms": 0}}
         self.registry = self.part("registry", "calicomast.registry",
@@ -131,7 +133,8 @@
         self.counter = self.stand_in("counter", "counter")
         self.hosts = [self.stand_in(
             f"host-{n}", "host", "--name", f"host-{n}", "--zone", ZONES[n % len(ZONES)], "--work", str(work),
-            "--register", self.registry_at, "--seed", str(n)) for n in range(hosts)]
+            "--slots", str(slots), "--room", str(16 * slots), "--register", self.registry_at,
+            "--seed", str(n)) for n in range(hosts)]
         self.gateways = [self.gateway(n) for n in range(gateways)]
         self.session: Any = None
 
@@ -162,11 +165,11 @@
         servers = (await self.until(self.registry, f"http://{self.registry_at}/v1/endpoints",
                                     lambda told: len(told["servers"]) == len(self.hosts)))["servers"]
         for number, part in enumerate(self.gateways):
-            settings = BASE | {"services": CLASSES, "plans": PLANS, "index": number,
+            settings = BASE | {"services": CLASSES, "plans": self.plans, "index": number,
                                "group_size": len(self.gateways), "locality": ZONES[number % len(ZONES)]}
             tree: Json = config(servers, self.registry_at, self.counter.places["listen"], settings,
                                 part.name, part.places["listen"])
-            tree |= {"seed": f"{number + 1:x}", "control": part.places["control"], "edge": {}}
+            tree |= {"seed": f"{number + 1:x}", "control": part.places["control"]} | self.more
             (self.folder / f"{part.name}.json").write_text(json.dumps(tree))
         await asyncio.gather(*(self.begin(part) for part in self.gateways))
 
--- /dev/null
+++ b/calicomast/lab/__init__.py
@@ -0,0 +1,1 @@
+"""What the product measures itself with, on loopback. The gateway imports none of it."""
--- a/calicomast/net/admission.py
+++ b/calicomast/net/admission.py
@@ -14,9 +14,11 @@
 import ipaddress
 import logging
 import socket
+import struct
 from collections import OrderedDict, deque
 from dataclasses import dataclass
 from functools import lru_cache
+from pathlib import Path
 from time import monotonic
 from typing import Any, Protocol
 
@@ -52,11 +54,13 @@
     fronts: tuple[Network, ...] = ()  # sources behind which many clients come: no limit by source for them
     turns: bool = True  # whether commands are taken in turns
     weights: tuple[tuple[Network, float], ...] = ()  # of sources in turns, the first that fits; else 1
+    half_closed: bool = False  # whether one that ends its sending still gets its answers: else it has gone
+    vanished: float = 60.0  # s without a sign of life after which a peer's machine is gone; 0: never
 
 
 KEYS: dict[str, Any] = {"per_source": int, "new_per_source": int | float, "new": int | float, "prefix4": int,
-                        "prefix6": int}
-BITS = {"prefix4": 32, "prefix6": 128}
+                        "prefix6": int, "vanished": int | float}
+MOST = {"prefix4": 32, "prefix6": 128, "vanished": 3600}
 
 
 def read_edge(told: Any) -> Edge:
@@ -66,13 +70,13 @@
     for name, value in told.items():
         if name in ("fronts", "weights"):
             continue
-        if name == "turns":
+        if name in ("turns", "half_closed"):
             if not isinstance(value, bool):
-                raise ValueError(f"edge.turns is {value!r}, not true or false")
+                raise ValueError(f"edge.{name} is {value!r}, not true or false")
             continue
         if name not in KEYS:
             raise ValueError(f"edge.{name}: no such key")
-        most = BITS.get(name, 1e6)
+        most = MOST.get(name, 1e6)
         if isinstance(value, bool) or not isinstance(value, KEYS[name]) or not 0 <= value <= most:
             raise ValueError(f"edge.{name} is {value!r}, not a number from 0 to {most:.0f}")
     fronts = told.get("fronts", [])
@@ -246,8 +250,9 @@
 class Turns:
     """Takes the commands of all connections in turns, in lots between which the loop does all else."""
 
-    def __init__(self) -> None:
-        self.loop, self.ring, self.due = asyncio.get_running_loop(), Ring(), False
+    def __init__(self, half_closed: bool = False) -> None:
+        self.loop, self.half_closed = asyncio.get_running_loop(), half_closed
+        self.ring, self.due = Ring(), False
         self.origins: dict[str, Origin] = {}
 
     def join(self, name: str, weight: float) -> Origin:
@@ -324,6 +329,14 @@
             self.flush()
         return spent, self.unlooked and self.may()
 
+    def eof_received(self) -> bool:
+        """The client sends nothing more. True: the transport stays open for the answers, where that is asked
+        for; one that has closed as a whole is found out by the first of them."""
+        if not self.turns.half_closed or not (self.pending or self.unlooked):
+            return False
+        self.close_when_done()
+        return True
+
     def may(self) -> bool:
         return not self.paused and len(self.pending) < self.window
 
@@ -347,12 +360,45 @@
     return 1.0 + min(SMALL, size) / COMMAND_BYTES
 
 
+def watch_peer(sock: socket.socket, seconds: float) -> None:
+    """A machine that vanished says nothing: the kernel asks it (SO_KEEPALIVE, for connections at rest) and
+    looks whether it takes what was sent (TCP_USER_TIMEOUT), and ends the connection after about so long."""
+    if not seconds or sock.family not in (socket.AF_INET, socket.AF_INET6):
+        return
+    probes = 3
+    every = max(1, int(seconds / (probes + 1)))
+    for option, value in ((socket.TCP_KEEPIDLE, every), (socket.TCP_KEEPINTVL, every),
+                          (socket.TCP_KEEPCNT, probes), (socket.TCP_USER_TIMEOUT, int(seconds * 1000))):
+        sock.setsockopt(socket.IPPROTO_TCP, option, value)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+
+
+def backlog(sock: socket.socket) -> tuple[int, int]:
+    """Connections that wait to be accepted, and how many may: of a socket that listens, TCP_INFO tells these
+    as unacked and sacked segments (Linux, net/ipv4/tcp.c, tcp_get_info)."""
+    if sock.fileno() < 0:
+        return 0, 0
+    info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 104)
+    return struct.unpack_from("II", info, 24)
+
+
+def overflows() -> int:
+    """Connections that this machine lost because a backlog was full, whichever socket's it was."""
+    try:
+        heads, values = [line.split() for line in Path("/proc/net/netstat").read_text().splitlines()
+                         if line.startswith("TcpExt:")]
+    except (OSError, ValueError):
+        return 0
+    return int(dict(zip(heads, values, strict=True)).get("ListenOverflows", 0))
+
+
 class Acceptor:
     """In the place of an asyncio server: takes what the gate lets in."""
 
     def __init__(self, sock: socket.socket, server: ClientServer, edge: Edge) -> None:
         self.sockets, self.server, self.gate = [sock], server, Gate(edge, monotonic())
-        self.turns = Turns() if edge.turns else None
+        self.turns = Turns(edge.half_closed) if edge.turns else None
+        self.overflows = overflows()
         self.loop = asyncio.get_running_loop()
         self.coming: set[asyncio.Task[Any]] = set()
         self.timer: asyncio.TimerHandle | None = None
@@ -403,6 +449,7 @@
 
     async def connect(self, sock: socket.socket, address: str) -> None:
         name = self.gate.name(address)
+        watch_peer(sock, self.gate.edge.vanished)
         origin = self.turns.join(name, self.gate.weight(address)) if self.turns and name else None
 
         def ended() -> None:
@@ -420,11 +467,14 @@
 
     def status(self) -> dict[str, Any]:
         """Connections by what became of them, and the turns: who waits, and how much one may have in work."""
+        waiting, most = backlog(self.sockets[0])
+        told = {**self.gate.counts, "backlog": waiting, "backlog_most": most,
+                "overflows": overflows() - self.overflows}
         if self.turns is None:
-            return self.gate.counts
+            return told
         windows = [client.window for client in self.server.clients if isinstance(client, FairClient)]
-        told = [int(min(windows, default=WINDOW)), int(max(windows, default=WINDOW))]
-        return {**self.gate.counts, "turns": self.turns.waiting(), "windows": told}
+        return {**told, "turns": self.turns.waiting(),
+                "windows": [int(min(windows, default=WINDOW)), int(max(windows, default=WINDOW))]}
 
     def close(self) -> None:
         if self.timer is not None:
--- a/calicomast/net/clients.py
+++ b/calicomast/net/clients.py
@@ -25,6 +25,7 @@
 PIECE_WITHIN = 2.2  # s between two pieces of a body
 TAKEN_WITHIN = 60.0  # s after which a client that takes nothing more of its answers is given up
 SWEEP = 0.2  # s between looks for those that took longer
+REST = 2.0  # s without a request after which a connection may be closed
 LAST_READ = 1.6  # s into a drain from which nothing more is read: at 4 s only older requests are open
 FIRST_WITHIN = 1.0  # s for the first command of a connection that comes during a drain
 
@@ -121,6 +122,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport  # type: ignore[assignment]
         self.server.joined(self)
+        self.server.timed[self] = None
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.closing = True
@@ -175,6 +177,8 @@
             self.server.budget.take(self.reader.begun, self)
         elif self.partial > MOST_COMMAND and not self.waits:  # one without end must not fill the memory
             self.fail(b"-ERR command too long\r\n")
+        if self.awaited is not None:  # one has begun
+            self.server.timed[self] = None
 
     def admitted(self, length: int) -> None:
         """There is a place for the body that has begun."""
@@ -183,18 +187,27 @@
         self.reader.pass_on(self.body.add)
         self.commands()
 
-    def check(self, now: float) -> None:
+    def check(self, now: float) -> bool:
+        """Ends one that takes too long. False: nothing of it has a time now."""
         if self.server.drained_at is not None:
             self.check_drain(now, self.server.drained_at)
         self.check_taken(now)
-        if self.broken or self.flooded or self.unlooked or self.awaited is None:
-            return
+        if self.broken or self.awaited is None:
+            return self.paused
+        if self.flooded or self.unlooked:
+            return True
         if self.reader.in_last():
             late = now - self.heard > PIECE_WITHIN
         else:
             late = now - self.awaited > HEAD_WITHIN
         if late:
             self.fail(b"-ERR no whole command in time\r\n")
+        return True
+
+    def rests(self, since: float) -> bool:
+        """Whether it has had no request since then."""
+        return not (self.pending or self.closing or self.body or self.waits or self.unlooked
+                    or self.awaited is not None) and self.active <= since
 
     def check_taken(self, now: float) -> None:
         """A client that takes nothing more of an answer is not kept, nor is the host's connection."""
@@ -261,7 +274,8 @@
         """A command of it was refused because hosts had no room."""
 
     def pause_writing(self) -> None:
-        self.paused = True
+        self.paused, self.moved = True, monotonic()
+        self.server.timed[self] = None
         self.throttle()
 
     def resume_writing(self) -> None:
@@ -289,6 +303,7 @@
     def __init__(self, handler: Any, most: int) -> None:
         self.handler, self.most = handler, most
         self.clients: dict[Client, None] = {}  # in order of their coming
+        self.timed: dict[Client, None] = {}  # those of which something is due within a time
         self.listener: Any = None  # an asyncio.Server, or an Acceptor
         self.on_empty: Callable[[], None] | None = None
         self.sweeping: asyncio.TimerHandle | None = None
@@ -314,8 +329,9 @@
     def sweep(self) -> None:
         """A peer that sends nothing, or never a whole command, is owed an end to it."""
         now = monotonic()
-        for client in list(self.clients):
-            client.check(now)
+        for client in list(self.timed if self.drained_at is None else self.clients):
+            if not client.check(now):
+                self.timed.pop(client, None)
         self.sweeping = asyncio.get_running_loop().call_later(SWEEP, self.sweep)
 
     def joined(self, client: Client) -> None:
@@ -326,8 +342,19 @@
                 c.pending or c.closing or c.body or c.waits or c.unlooked)]
             min(idle, key=lambda c: c.active, default=client).close_when_done()
 
+    def resting(self) -> list[Client]:
+        """Those that may be closed, the one that rests longest first."""
+        since = monotonic() - REST
+        return sorted((c for c in self.clients if c.rests(since)), key=lambda c: c.active)
+
+    def make_room(self) -> None:
+        """After the limit has shrunk: as many go as are too many, of those that rest."""
+        for client in self.resting()[:max(0, len(self.clients) - self.most)]:
+            client.close_when_done()
+
     def left(self, client: Client) -> None:
         self.clients.pop(client, None)
+        self.timed.pop(client, None)
         if not self.clients and self.on_empty:
             self.on_empty()
 
--- a/calicomast/net/gateway.py
+++ b/calicomast/net/gateway.py
@@ -471,14 +471,20 @@
         if self.counter and fresh.counter:
             self.counter.retune(fresh.counter, fresh.settings.counter_timeout)
         self.share()
+        if fresh.sockets < last.sockets:
+            self.clients.make_room()
+            self.hosts.make_room()
 
     def short_of(self, fresh: Config) -> str:
-        """What smaller limits would leave no room for; nothing where they are not smaller."""
+        """What smaller limits would leave no room for; nothing where they are not smaller. Connections that
+        rest make room."""
         (connections, bodies), last = self.room(fresh), self.config
         if fresh.sockets < last.sockets:
-            for what, count in (("clients", len(self.clients.clients)), ("hosts", self.hosts.open)):
+            busy = {"clients": len(self.clients.clients) - len(self.clients.resting()),
+                    "hosts": self.hosts.open - self.hosts.resting()}
+            for what, count in busy.items():
                 if count > connections:
-                    return f"{count} connections of {what} are open, {connections} may be"
+                    return f"{count} connections of {what} are in use, {connections} may be open"
         if fresh.memory < last.memory and self.clients.budget.used > bodies:
             return f"large bodies hold {self.clients.budget.used} bytes, {bodies} may be"
         if fresh.memory < last.memory and (held := resident()) > fresh.memory / self.processes:
--- a/calicomast/net/hosts.py
+++ b/calicomast/net/hosts.py
@@ -383,6 +383,14 @@
         oldest.close()
         return True
 
+    def resting(self) -> int:
+        return sum(len(pool.idle) for pool in self.pools.values())
+
+    def make_room(self) -> None:
+        """After the limit has shrunk: those that rest go, the oldest first."""
+        while self.open > self.most and self.room():
+            pass
+
     def close_idle(self, host: str) -> None:
         if host in self.pools:
             self.pools[host].close_idle()
--- a/tests/test_net_admission.py
+++ b/tests/test_net_admission.py
@@ -5,7 +5,7 @@
 import socket
 
 import pytest
-from netkit import SERVED, Node, StubHost, command, on_loop, read_reply, until
+from netkit import SERVED, VALUE, Node, StubHost, command, on_loop, read_reply, until
 
 from calicomast.net import admission
 from calicomast.net.admission import Edge, Gate, read_edge
@@ -187,3 +187,67 @@
         assert not isinstance(node.node.clients.listener, admission.Acceptor)
         assert "edge" not in (await node.call("GET /status"))[1]
         assert Edge() == read_edge({})
+
+
+@on_loop
+async def test_looks_at_times_pass_over_connections_at_rest(scratch):
+    async with StubHost() as host, Node(host, path=scratch) as node:
+        server = node.node.clients
+        peers = [await node.connect() for _ in range(30)]
+        for reader, writer in peers:
+            writer.write(PING)
+            await read_reply(reader)
+        peers[0][1].write(PING[:5])
+        await until(lambda: len(server.timed) == 1)
+        assert len(server.clients) == 30 and next(iter(server.timed)).awaited is not None
+        peers[0][1].write(PING[5:] + PING[:1])  # the last byte of one and the first of another, and so on
+        assert await read_reply(peers[0][0]) == b"+PONG\r\n"
+        server.sweep()
+        assert [client.awaited is not None for client in server.timed] == [True]
+
+
+@pytest.mark.parametrize("more, answered", [(edge(half_closed=True), True), (edge(), False), (None, False)])
+@on_loop
+async def test_a_half_closed_client_gets_its_answers_where_that_is_asked_for(more, answered, scratch):
+    async with StubHost(answer=None) as host, Node(host, path=scratch, more=more) as node:
+        reader, writer = await node.connect()
+        writer.write(command(b"r1") + command(b"r2", customer=b"%016x" % 5))
+        await until(lambda: len(host.commands) == 2 or len(node.node.works) == 2)
+        writer.write_eof()
+        if answered:
+            host.answer = VALUE
+            for done in host.writers:
+                done.write(VALUE)
+            got = await reader.read()
+            assert got.count(SERVED) + got.count(b"-") == 2
+        else:
+            assert await reader.read() == b""
+        await until(lambda: not node.node.clients.clients)
+
+
+@on_loop
+async def test_a_peer_whose_machine_vanished_is_found_out(scratch):
+    for more, told in ((edge(vanished=8), (1, 2, 8000)), (edge(vanished=0), (0,)), (edge(), (1, 15, 60000))):
+        async with StubHost() as host, Node(host, path=scratch, more=more) as node:
+            reader, writer = await node.connect()
+            writer.write(PING)
+            await read_reply(reader)
+            (client,) = node.node.clients.clients
+            sock = client.transport.get_extra_info("socket")
+            options = (socket.SOL_SOCKET, socket.SO_KEEPALIVE), (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE), (
+                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+            assert tuple(sock.getsockopt(*option) for option in options)[:len(told)] == told
+
+
+def test_a_full_backlog_shows():
+    before = admission.overflows()
+    with socket.create_server(("127.0.0.1", 0), backlog=2) as listener:
+        assert admission.backlog(listener) == (0, 2)
+        peers = [socket.socket() for _ in range(12)]
+        for peer in peers:
+            peer.setblocking(False)
+            peer.connect_ex(listener.getsockname())
+        assert admission.backlog(listener) == (3, 2)  # one more than it says, in Linux
+        assert admission.overflows() > before
+        for peer in peers:
+            peer.close()
--- a/tests/test_net_changes.py
+++ b/tests/test_net_changes.py
@@ -24,7 +24,7 @@
 )
 
 from calicomast.net import changes as module
-from calicomast.net import control, keys
+from calicomast.net import clients, control, keys
 from calicomast.net.changes import STEPS, History, digest, read_history, version
 
 EXTRA = SETTINGS["services"][0] | {"name": "extra"}
@@ -336,6 +336,24 @@
         assert (await apply(node, less))[0] == 200
 
 
+@on_loop
+async def test_connections_that_rest_make_room_for_smaller_limits(tmp_path, monkeypatch):
+    monkeypatch.setattr(clients, "REST", 0.0)
+    async with StubHost() as host, Node(host, path=tmp_path) as node:
+        peers = [await node.connect() for _ in range(45)]
+        for n, (reader, writer) in enumerate(peers):
+            writer.write(command(b"r%d" % n))
+            assert (await read_reply(reader))[:1] in (b"$", b"-")
+        host.answer = None
+        peers[0][1].write(command(b"open"))
+        await until(lambda: host.commands and host.commands[-1][2] == b"open")
+        assert (await apply(node, await candidate(node, limits__sockets=140)))[0] == 200
+        await until(lambda: len(node.node.clients.clients) <= node.node.clients.most)
+        assert 0 < node.node.clients.most < 45 and node.node.hosts.open <= node.node.hosts.most
+        host.writers[-1].write(VALUE)  # the one with a request in work is not among those that went
+        assert (await read_reply(peers[0][0]))[:1] in (b"$", b"-")
+
+
 @on_loop
 async def test_a_counter_is_met_before_it_is_moved_to(tmp_path):
     async with StubHost() as host, StubCounter() as other, Node(host, path=tmp_path) as node:
