Edge: connects to hosts bounded and shared by connects, and storms of bad peers that leave nothing

Need: a rush of requests was a rush of handshakes at hosts, each attempt opening a connection of its own. Change: with connects in the key edge an attempt waits for the first connection that comes up or has ended its work; so many are opened at once by host and in all; one that is refused fails all that wait, which may then be tried elsewhere at once. Three planted bugs are caught. 300 bad peers of each of seven kinds leave no descriptor, place, timer or turn behind, with the key and without.

--- a/calicomast/net/admission.py
+++ b/calicomast/net/admission.py
@@ -52,6 +52,8 @@
     prefix4: int = 32  # bits of an address that make a source
     prefix6: int = 64
     fronts: tuple[Network, ...] = ()  # sources behind which many clients come: no limit by source for them
+    connects: int = 0  # to one host at once, shared by the attempts that wait for one; none where it is 0
+    connects_all: int = 0  # to all hosts at once, with connects
     turns: bool = True  # whether commands are taken in turns
     weights: tuple[tuple[Network, float], ...] = ()  # of sources in turns, the first that fits; else 1
     half_closed: bool = False  # whether one that ends its sending still gets its answers: else it has gone
@@ -59,7 +61,8 @@
 
 
 KEYS: dict[str, Any] = {"per_source": int, "new_per_source": int | float, "new": int | float, "prefix4": int,
-                        "prefix6": int, "vanished": int | float}
+                        "prefix6": int, "vanished": int | float, "connects": int,
+                        "connects_all": int}
 MOST = {"prefix4": 32, "prefix6": 128, "vanished": 3600}
 
 
--- /dev/null
+++ b/calicomast/net/connects.py
@@ -0,0 +1,110 @@
+"""Connects to hosts, bounded by host and in all, and shared. Only with `connects` in the key `edge`.
+
+Without it each attempt that finds no connection at rest opens one for itself, so that a rush of requests is a
+rush of handshakes too, which costs hosts work. Here an attempt waits for the first connection that comes up
+or has ended its work, whichever it was opened for.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import weakref
+from collections.abc import Callable
+
+from calicomast.net.hosts import Attempt, Connection, Hosts, Pool
+from calicomast.net.listing import Address
+
+
+class Bounds:
+    """Connects to one host and to all at once (0: any number), over the pools of one process."""
+
+    def __init__(self, host: int, most: int) -> None:
+        self.host, self.most = host, most
+        self.blocked: weakref.WeakSet[SharedPool] = weakref.WeakSet()  # that found no room in all
+
+    def free(self, hosts: Hosts) -> bool:
+        """Counted, not kept: a task that is cancelled before its first step could not take itself off."""
+        return not self.most or sum(len(pool.coming) for pool in hosts.pools.values()) < self.most
+
+    def ended(self) -> None:
+        """A connect has ended: those that found no room look again, the one with most waiting first."""
+        for pool in sorted(self.blocked, key=lambda pool: -len(pool.waiting)):
+            self.blocked.discard(pool)
+            pool.fill()
+
+
+class SharedPool(Pool):
+    """`waiting`: attempts without a connection, the first that came first."""
+
+    def __init__(self, hosts: Hosts, address: Address, bounds: Bounds) -> None:
+        super().__init__(hosts, address)
+        self.bounds, self.waiting = bounds, dict[Attempt, None]()
+
+    def start(self, attempt: Attempt) -> None:
+        if not self.reuse(attempt):
+            self.waiting[attempt] = None
+            self.fill()
+
+    def fill(self) -> None:
+        """As many connects as there are attempts that wait, within the bounds."""
+        while self.up and len(self.coming) < min(len(self.waiting), self.bounds.host):
+            if not self.bounds.free(self.hosts):
+                self.bounds.blocked.add(self)
+                return
+            if not self.hosts.room():
+                if not self.coming:  # none will come up that could be shared
+                    asyncio.get_running_loop().call_soon(self.fail)
+                return
+            token = object()
+            self.coming[token] = asyncio.get_running_loop().create_task(self.come_up(token))
+
+    async def come_up(self, token: object) -> None:
+        try:
+            conn = await self.open()
+        finally:
+            self.coming.pop(token, None)
+        if conn is None:
+            self.fail()
+        else:
+            self.hosts.conns.add(conn)
+            self.rest(conn)
+        self.fill()
+        self.bounds.ended()
+
+    def fail(self) -> None:
+        """What one connect met is so for all that wait: each may be tried elsewhere at once."""
+        waiting, self.waiting = self.waiting, {}
+        for attempt in waiting:
+            attempt.end("connect_failed")
+
+    def rest(self, conn: Connection) -> None:
+        if self.up and self.waiting and conn.transport is not None and not conn.transport.is_closing():
+            attempt = next(iter(self.waiting))
+            del self.waiting[attempt]
+            conn.start(attempt)
+        else:
+            super().rest(conn)
+
+    def drop(self, conn: Connection) -> None:
+        """It may have been the last one that those who wait could have had."""
+        super().drop(conn)
+        self.fill()
+
+    def call_off(self, attempt: Attempt) -> None:
+        """A connect that is on its way goes on: what comes up rests, and serves the next one."""
+        self.waiting.pop(attempt, None)
+
+    def stop(self) -> None:
+        self.up = False
+        self.close_idle()
+        coming, self.coming = self.coming, {}
+        for task in coming.values():
+            task.cancel()
+        self.fail()
+        self.bounds.ended()
+
+
+def shared(host: int, most: int) -> Callable[[Hosts, Address], Pool]:
+    """What makes the pools of one process."""
+    bounds = Bounds(host, most)
+    return lambda hosts, address: SharedPool(hosts, address, bounds)
--- a/calicomast/net/gateway.py
+++ b/calicomast/net/gateway.py
@@ -121,6 +121,10 @@
         self.looking: asyncio.TimerHandle | None = None
         self.clients = ClientServer(self, 0)
         self.hosts = Hosts(config.connect_timeout, config.idle_close, 0)
+        if config.edge and config.edge.connects:
+            from calicomast.net.connects import shared
+
+            self.hosts.make = shared(config.edge.connects, config.edge.connects_all)
         self.processes = 1  # of this gateway, as far as the last look told
         self.control: Any = None  # a Control, where operators may call
         self.changes: Any = None  # a Changes, from the first time on that one is needed
--- a/calicomast/net/hosts.py
+++ b/calicomast/net/hosts.py
@@ -231,20 +231,33 @@
     def __init__(self, hosts: Hosts, address: Address) -> None:
         self.hosts, self.address, self.up = hosts, address, True
         self.idle: list[Connection] = []
-        self.coming: dict[Attempt, asyncio.Task[None]] = {}
+        self.coming: dict[Any, asyncio.Task[None]] = {}  # connects by the attempt that each is for
 
-    def start(self, attempt: Attempt) -> None:
+    def reuse(self, attempt: Attempt) -> bool:
+        """Whether a connection that rested has taken it."""
         while self.idle:
             conn = self.idle.pop()
             if conn.transport is not None and not conn.transport.is_closing():
                 conn.start(attempt)
-                return
+                return True
+        return False
+
+    def start(self, attempt: Attempt) -> None:
+        if self.reuse(attempt):
+            return
         if not self.hosts.room():
             asyncio.get_running_loop().call_soon(attempt.end, "connect_failed")
             return
         self.coming[attempt] = asyncio.get_running_loop().create_task(self.connect(attempt))
 
-    async def connect(self, attempt: Attempt) -> None:
+    def call_off(self, attempt: Attempt) -> None:
+        """Nobody waits any longer for a connection for this attempt."""
+        task = self.coming.pop(attempt, None)
+        if task is not None:
+            task.cancel()
+
+    async def open(self) -> Connection | None:
+        """A new connection; None where it is refused or does not come up in time."""
         loop = asyncio.get_running_loop()
         family = socket.AF_INET6 if ":" in self.address[0] else socket.AF_INET
         sock: socket.socket | None = None
@@ -260,9 +273,15 @@
         except (OSError, ValueError):  # refused, out of time or descriptors, or no address at all
             pass
         finally:
-            waiting = self.coming.pop(attempt, None) is not None
             if conn is None and sock is not None:
                 sock.close()
+        return conn
+
+    async def connect(self, attempt: Attempt) -> None:
+        try:
+            conn = await self.open()
+        finally:
+            waiting = self.coming.pop(attempt, None) is not None
         if conn is not None:
             self.hosts.conns.add(conn)
             if waiting and not attempt.result and self.up and not conn.transport.is_closing():
@@ -300,7 +319,7 @@
 
 class Hosts:
     def __init__(self, connect_timeout: float, idle_close: float, most: int) -> None:
-        self.most = most
+        self.most, self.make = most, Pool
         self.retune(connect_timeout, idle_close)
         self.pools: dict[str, Pool] = {}
         self.places: dict[str, Address] = {}  # where the list says that hosts are up
@@ -333,7 +352,7 @@
             pool.stop()
             del self.pools[host]
         if address is not None and host not in self.pools:
-            self.pools[host] = Pool(self, address)
+            self.pools[host] = self.make(self, address)
 
     def send(self, attempt: Attempt, timeout: float) -> None:
         loop = asyncio.get_running_loop()
@@ -354,9 +373,8 @@
         conn = attempt.conn
         if conn is None:
             pool = self.pools.get(attempt.host)
-            task = pool.coming.pop(attempt, None) if pool else None
-            if task is not None:
-                task.cancel()
+            if pool is not None:
+                pool.call_off(attempt)
             attempt.end("connect_failed")
             return
         if not conn.written:
--- /dev/null
+++ b/tests/test_net_connects.py
@@ -0,0 +1,143 @@
+"""Connects to hosts: bounded by host and in all, shared by those who wait, and failed together."""
+
+import asyncio
+import random
+
+import pytest
+from netkit import Node, StubHost, command, on_loop, read_reply, until
+
+from calicomast.net.connects import SharedPool, shared
+from calicomast.net.hosts import Attempt, Hosts
+
+
+class Line:
+    """In the place of a connection: works on an attempt for a while, then rests."""
+
+    written, attempt = True, None
+
+    def __init__(self, pool, rng):
+        self.pool, self.rng, self.transport, self.ended = pool, rng, self, False
+        self.idle_since, self.served = 0.0, 0
+
+    def is_closing(self):
+        return self.ended
+
+    def start(self, attempt):
+        assert not self.ended and not attempt.result
+        attempt.conn = self
+        self.served += 1
+        asyncio.get_running_loop().call_later(self.rng.random() * 0.002, self.done, attempt)
+
+    def done(self, attempt):
+        if not self.ended and self.rng.random() < 0.1:
+            self.close()
+        elif not self.ended:
+            self.pool.rest(self)
+        attempt.end("ok")
+
+    def close(self):
+        self.ended = True
+        self.pool.drop(self)
+
+
+class Unbounded(SharedPool):
+    """Planted: the bound by host is not looked at."""
+
+    def fill(self):
+        host, self.bounds.host = self.bounds.host, 1000
+        super().fill()
+        self.bounds.host = host
+
+
+class Forgets(SharedPool):
+    """Planted: one whose host refused is not told."""
+
+    def fail(self):
+        self.waiting = {}
+
+
+class Hoards(SharedPool):
+    """Planted: what comes up rests although others wait."""
+
+    def rest(self, conn):
+        self.idle.append(conn)
+
+
+async def play(seed, kind=SharedPool):
+    rng = random.Random(seed)
+    host_most, most = rng.randint(1, 4), rng.choice((0, 2, 5))
+    hosts, ended, seen, connects = Hosts(1.0, 30.0, 1000), [], 0, 0
+    make = shared(host_most, most)
+
+    class Tried(kind):
+        async def open(self):
+            nonlocal connects
+            connects += 1
+            await asyncio.sleep(rng.random() * 0.003)
+            return None if rng.random() < 0.1 else Line(self, rng)
+
+    hosts.make = lambda *args: Tried(*args, make(*args).bounds)
+    for name in ("a", "b", "c"):
+        hosts.listed(name, ("127.0.0.1", 1))
+    attempts = []
+    for _ in range(150):
+        for _ in range(rng.choice((0, 1, 1, 8))):
+            attempts.append(Attempt(rng.choice("abc"), b"", lambda attempt: ended.append(attempt)))
+            hosts.send(attempts[-1], 30.0)
+        if rng.random() < 0.1:
+            hosts.give_up(rng.choice(attempts), "cancelled") if attempts and not attempts[-1].conn else None
+        if rng.random() < 0.02:  # a host goes and comes back elsewhere
+            hosts.listed("a", None)
+            hosts.listed("a", ("127.0.0.1", 2))
+        await asyncio.sleep(0.0005)
+        pools = list(hosts.pools.values())
+        seen = max(seen, *(len(pool.coming) for pool in pools))
+        assert all(len(pool.coming) <= host_most for pool in pools), "past the bound by host"
+        assert not most or sum(len(pool.coming) for pool in pools) <= most, "past the bound in all"
+        assert not any(pool.waiting and pool.idle for pool in pools), "one waits beside a connection at rest"
+    async with asyncio.timeout(1.0):
+        while len(ended) < len(attempts) or any(pool.coming for pool in hosts.pools.values()):
+            await asyncio.sleep(0.001)
+    assert len({id(attempt) for attempt in ended}) == len(ended) == len(attempts), "not one end each"
+    assert not any(pool.waiting for pool in hosts.pools.values())
+    hosts.close()
+    return connects, len(attempts)
+
+
+@pytest.mark.parametrize("seed", range(12))
+@on_loop
+async def test_whatever_comes_connects_are_bounded_and_each_attempt_ends_once(seed):
+    connects, attempts = await play(seed)
+    assert connects < attempts  # they are shared
+
+
+@pytest.mark.parametrize("bug, why", [(Unbounded, "by host"), (Hoards, "waits beside|TimeoutError"),
+                                      (Forgets, "")])
+@on_loop
+async def test_planted_bugs_are_caught(bug, why):
+    with pytest.raises((AssertionError, TimeoutError)) as caught:
+        for seed in range(12):
+            await play(seed, bug)
+    assert not why or any(word in repr(caught.value) for word in why.split("|"))
+
+
+@pytest.mark.parametrize("edge, bounded", [({"connects": 2, "connects_all": 3}, True), ({}, False)])
+@on_loop
+async def test_a_rush_of_requests_is_no_rush_of_handshakes(edge, bounded, scratch):
+    more = {"edge": edge}
+    async with StubHost() as one, StubHost() as two, Node(one, two, path=scratch, more=more) as node:
+        reader, writer = await node.connect()
+        writer.write(b"".join(command(b"r%d" % n, customer=b"%016x" % n) for n in range(40)))
+        most = 0
+        for _ in range(40):
+            most = max(most, *(len(pool.coming) for pool in node.node.hosts.pools.values()))
+            assert (await read_reply(reader))[:1] in (b"$", b"-")
+        assert all(isinstance(pool, SharedPool) == bounded for pool in node.node.hosts.pools.values())
+        if bounded:
+            assert most <= 2
+            one.server.close()
+            two.server.close()
+            for conn in list(node.node.hosts.conns):
+                conn.close()
+            assert (await node.ask(command(b"last"))).startswith((b"-ERR", b"-BUSY"))
+            await until(lambda: not any(pool.waiting for pool in node.node.hosts.pools.values()))
--- /dev/null
+++ b/tests/test_net_storms.py
@@ -0,0 +1,123 @@
+"""Bad peers by the hundred beside a client that asks one thing after another; nothing of them stays."""
+
+import asyncio
+import os
+import socket
+
+import pytest
+from netkit import Node, StubHost, command, on_loop, read_reply, until
+
+PEERS = 150
+RESET = b"\x01\0\0\0\0\0\0\0"  # SO_LINGER on, 0 s: closing sends RST
+PING = b"*1\r\n$4\r\nPING\r\n"
+
+
+def reset(writer):
+    writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+    writer.transport.abort()
+
+
+async def drip(reader, writer):
+    """A byte at a time, never a whole command; it is owed an error line and an end within 3 s."""
+    ended = asyncio.create_task(reader.read())
+    for byte in PING[:-1]:
+        if not ended.done():
+            writer.write(bytes([byte]))
+            await asyncio.wait([ended], timeout=0.3)
+    assert (await asyncio.wait_for(ended, 3.0)).startswith(b"-ERR")
+
+
+async def come_and_go(reader, writer):
+    writer.close()
+
+
+async def reset_at_once(reader, writer):
+    reset(writer)
+
+
+async def reset_in_a_command(reader, writer):
+    writer.write(command()[:40])
+    await asyncio.sleep(0.05)
+    reset(writer)
+
+
+async def reset_with_work_out(reader, writer):
+    writer.write(command(b"w%d" % id(writer), customer=b"%016x" % (id(writer) % 2 ** 33)))
+    await asyncio.sleep(0.02)
+    reset(writer)
+
+
+async def reset_with_commands_waiting(reader, writer):
+    writer.write(b"".join(command(b"p%d-%d" % (id(writer), n), customer=b"%016x" % n) for n in range(50)))
+    await asyncio.sleep(0.02)
+    reset(writer)
+
+
+async def never_reads(reader, writer):
+    writer.transport.pause_reading()
+    writer.write(PING * 2000)
+    await asyncio.sleep(0.5)
+    reset(writer)
+
+
+BAD = (drip, come_and_go, reset_at_once, reset_in_a_command, reset_with_work_out, reset_with_commands_waiting,
+       never_reads)
+
+
+@pytest.mark.parametrize("more", [{"edge": {"connects": 4, "new_per_source": 1e5}}, None])
+@pytest.mark.parametrize("bad", BAD)
+@on_loop
+async def test_a_client_is_answered_beside_bad_peers_and_nothing_of_them_stays(bad, more, scratch):
+    async with StubHost() as host, Node(host, path=scratch, more=more) as node:
+        server, answers = node.node.clients, []
+        light = await node.connect()
+        light[1].write(PING)
+        await read_reply(light[0])
+        open_before = len(os.listdir("/proc/self/fd"))
+
+        async def peer():
+            reader, writer = await node.connect()
+            await bad(reader, writer)
+            writer.close()
+
+        async def ask():
+            while True:
+                light[1].write(command(b"l%d" % len(answers), customer=b"%016x" % 7777))
+                answers.append(await read_reply(light[0]))
+                await asyncio.sleep(0.01)
+
+        asking = asyncio.create_task(ask())
+        for _ in range(2):
+            await asyncio.gather(*(peer() for _ in range(PEERS)), return_exceptions=bad is not drip)
+        seen = len(answers)
+        await until(lambda: len(answers) > seen)  # it is served still
+        asking.cancel()
+        assert {answer[:1] for answer in answers} <= {b"$", b"-"}
+        await until(lambda: len(server.clients) == 1 and set(node.node.works) <= {b"l%d" % len(answers)})
+        await until(lambda: len(os.listdir("/proc/self/fd")) <= open_before + len(node.node.hosts.conns) * 2)
+        assert len(server.timed) <= 1 and not server.budget.used and not server.budget.waiting
+        if more:
+            listener = server.listener
+            assert sum(source.held for source in listener.gate.sources.values()) == 1 and not listener.coming
+            assert sum(origin.held for origin in listener.turns.origins.values()) == 1
+            await until(lambda: listener.turns.waiting() == 0)
+
+
+@on_loop
+async def test_a_rush_in_a_drain_is_answered_and_sent_away(scratch):
+    async with StubHost() as host, Node(host, path=scratch, more={"edge": {}}) as node:
+        peers = [await node.connect() for _ in range(40)]
+        for number, (_, writer) in enumerate(peers):
+            writer.write(b"".join(command(b"%d-%d" % (number, n), customer=b"%016x" % n) for n in range(20)))
+        assert (await node.call("POST /standby"))[0] == 200
+        for reader, _ in peers:
+            replies = [line async for line in replies_of(reader)]
+            assert len(replies) == 20 and all(reply[:1] in (b"$", b"-") for reply in replies)
+        await until(lambda: not node.node.clients.clients)
+        assert (await node.call("POST /active"))[0] == 200
+        assert (await node.ask(command(b"after")))[:1] in (b"$", b"-")
+
+
+async def replies_of(reader):
+    while reply := await read_reply(reader):
+        yield reply
