--- a/calicomast/lab/crowd.py
+++ b/calicomast/lab/crowd.py
@@ -31,6 +31,7 @@
 LIGHT, EVERY = 20, 0.1  # light clients; s between two requests of one
 CUSTOMERS = 50  # of a pipeline
 HOSTS, SLOTS = 4, 16
+WARM = 2.0  # s after the start in which hosts that are cold get little, whoever asks
 TICK = os.sysconf("SC_CLK_TCK")
 
 
@@ -134,6 +135,7 @@
             (gateway,) = fleet.gateways
             assert gateway.process is not None
             place, told = gateway.places["listen"], list[tuple[float, bytes]]()
+            await asyncio.sleep(WARM)
             before, end = cpu(gateway.process.pid), time.monotonic() + seconds
             presser = await asyncio.create_subprocess_exec(
                 sys.executable, "-m", "calicomast.lab.crowd", "--press", place, kind.name, str(seconds),
--- /dev/null
+++ b/calicomast/policy/attempts.py
@@ -0,0 +1,102 @@
+"""First sends, further attempts and second copies, and the budget that they draw on."""
+
+from __future__ import annotations
+
+import math
+
+from calicomast import interface as api
+from calicomast.policy.fleet import TICK, Server
+from calicomast.policy.work import Job, State
+
+QUEUE_HOLD, QUEUE_LEAST = 0.5, 4  # share of the aim spent waiting for a server; requests that always may
+RETRY_SHARE, RETRY_SPARE, RETRY_FULL = 0.1, 0.3, 0.2  # per first send; with room; price of one after `full`
+
+
+class Attempts(State):
+    """Sends what waits for it, hears how it ended, and tries again where the class and the budget allow."""
+
+    def fits(self, job: Job, s: Server, now: float) -> bool:
+        unproven = job.ran + list(job.live.values())
+        if s.host.id in job.avoid or not unproven or job.cls.effect == "safe":
+            return s.host.id not in job.avoid
+        if job.cls.effect == "unsafe" or now >= min(t for _, t in unproven) + job.cls.memory - TICK:
+            return False
+        known, scope = [self.fleet.servers[h].host for h, _ in unproven], job.cls.scope
+        return all(scope == "all" or (h.zone == s.host.zone if scope == "zone" else h.cell == s.host.cell)
+                   for h in known)
+
+    def choose(self, now: float, job: Job) -> Server | None:
+        fits = [x for x in self.fleet.own if self.fits(job, x, now)] if job.avoid else None
+        if fits == [] and self.fleet.own is not self.fleet.up:
+            fits = [x for x in self.fleet.others(now) if self.fits(job, x, now)]
+        return self.fleet.pick(now, job.keys, fits)
+
+    def send(self, now: float, job: Job) -> bool:
+        if job.sends >= job.limits.max_attempts or job.streaming:
+            return False
+        s = self.choose(now, job) if job.limits.second_copies or not job.live else None
+        if s is None:
+            return False
+        self.out.append(api.Send(job.req.id, s.host.id))
+        job.live[job.sends] = (s.host.id, now)
+        self.fleet.sent(s, (job.req.id, job.sends), now)
+        job.sends += 1
+        job.avoid.add(s.host.id)
+        job.stage = "sent"
+        self.look(now + self.fleet.patience(job.cls.name), job)
+        return True
+
+    def outcome(self, now: float, event: api.Outcome) -> None:
+        job = self.jobs.get(event.id)
+        self.fleet.answered(now, event, job.cls if job else None, job.keys if job else ("host",))
+        if job is None:
+            return
+        sent = job.live.pop(event.attempt, None)
+        if event.actual and self.set.settles and job.plan.rate and not job.beyond:
+            job.acct.uncharged += event.actual - job.req.units
+        if event.final:
+            self.close(now, job)
+            return
+        if event.result in ("error", "timeout", "reset", "cancelled") and sent is not None:
+            job.ran.append(sent)
+        if job.live:
+            return
+        cost = {"connect_failed": 0.0, "full": RETRY_FULL}.get(event.result, 1.0)
+        late = now + max(TICK, self.fleet.mean[job.cls.name]) > job.deadline or event.result == "moot"
+        if late or self.budget < cost or not self.send(now, job):
+            self.refuse(now, job, 0.0)
+        else:
+            self.budget -= cost
+
+    def began(self, job: Job, event: api.Began) -> None:
+        """The answer flows: its host's work is done, so it holds no place there at its client's pace."""
+        job.streaming = True
+        self.fleet.out -= self.fleet.servers[event.host].out.pop((event.id, event.attempt), None) is not None
+        if job.limits.cancel:
+            self.out += [api.Cancel(event.id, number) for number in job.live if number != event.attempt]
+
+    def check(self, now: float, job: Job) -> None:
+        ending = now >= job.deadline - 2 * TICK - 1e-6
+        most = {"units": 2 * self.counter.timeout, "queue": QUEUE_HOLD * job.cls.aim}.get(job.stage, math.inf)
+        if job.stage != "sent" and (ending or now - job.arrived >= most - 1e-6):
+            self.refuse(now, job, 0.0)
+        elif job.stage == "sent" and not ending and not job.streaming:
+            self.late(now, job)
+
+    def late(self, now: float, job: Job) -> None:
+        """An attempt long without answer: evidence against its host, and reason for another one, whatever the
+        cause. Harm: work done twice where an answer was only slow, so it draws on the budget for retries."""
+        patience = self.fleet.patience(job.cls.name) - TICK
+        late = [n for n, (_, sent) in job.live.items() if now - sent >= patience]
+        for number in set(late) - job.late:
+            out = self.fleet.servers[job.live[number][0]].out  # a silent one holds no other's place
+            self.fleet.out -= out.pop((job.req.id, number), None) is not None
+            self.fleet.doubt.note(job.live[number][0], job.keys, True, now)
+        job.late.update(late)
+        self.look(now + max(2 * TICK, self.fleet.dev[job.cls.name]), job)
+        if not late or len(job.live) > 1 or job.cls.effect == "unsafe" or self.budget < 1.0:
+            return
+        if job.limits.second_copies:
+            self.budget -= self.send(now, job)
+        elif job.limits.cancel and job.sends < job.limits.max_attempts and self.choose(now, job):
+            self.out.append(api.Cancel(job.req.id, late[0]))  # its outcome starts the next attempt
--- /dev/null
+++ b/calicomast/policy/fleet.py
@@ -0,0 +1,267 @@
+"""What is known of the hosts: who is there, how much each bears, which are doubtful; the choice of one."""
+
+from __future__ import annotations
+
+import itertools
+import math
+import random
+
+from calicomast import interface as api
+from calicomast.policy.accounts import GAIN, QUICK, stable_hash
+
+TICK = 0.02  # s; coarsest delay of a check on held requests and copies; far under any aim
+CONGESTED = 5.0  # requests held at a server, above which it holds more than it works on well
+PRESSED, PRESS_SPAN = 0.5, 1.5  # part of answers from congested servers that sheds work; s taken over
+LIMIT_MOST, ROOM_CLEAR = 4.0, 0.6  # attempts out per server over all gateways; part that is clear room;
+OUT_SLACK, OUT_EVEN = 2.0, 4.0  # times its even part that one gateway may have out: uneven traffic, the less
+# so the more gateways there are; gateways up to which it is as uneven as can be
+SERVERS_OF_HOST = 2.0  # requests a server works on at once, when nothing tells more
+PRIOR = 4  # answers that a class's first mean and deviation stand for: one answer alone tells no deviation
+FORGET = 10.0  # s; half of what is known of a host's failures is forgotten, which is its next trial
+ABLE_SPAN = 0.1  # s between counts of the hosts that can do work
+REPORT_AGE, RATE_SPAN = 1.0, 3.0  # s; a load report says half as much after it; own sends are counted over it
+OWN_PART = 3.0  # hosts that a gateway uses, times those whose even part of attempts it may have out
+CHOICES, DRAWS = 4.0, 40  # servers compared, times servers over gateways; draws before all are looked at
+DOUBT_LEAST, DOUBT_MOST = 0.02, 0.6  # bounds of the part of hosts taken to fail before anything is seen
+FAILS, CHANCE = 0.9, 0.05  # share of attempts that fail at a failing host; at a sound one
+COPY_AT = 4.0  # mean deviations above the mean time, after which an attempt is taken for silent
+COLD_PART = 0.4  # of what a cold server bears by the rules, the rest for chance and the others' bursts
+CROSS_WEIGHT = 10.0  # relative service time given to save one unit of the cross-zone price
+
+
+class Doubt:
+    """How likely a host fails, at the level where the symptom shows: the whole host, a class, a plan there.
+
+    One answer to errors, silence, lost connections and `full`: evidence at each level, by how much of the
+    fleet fails there, so that an answer of another kind clears nothing. In trouble proven hosts come first.
+    Harm: after a chance failure a sound host gets less until half is forgotten."""
+
+    def __init__(self) -> None:
+        self.hosts: dict[tuple[str, str], tuple[float, float]] = {}
+        self.pool: dict[str, float] = {}
+
+    def forget(self, host: str) -> None:
+        self.hosts = {at: known for at, known in self.hosts.items() if at[0] != host}
+
+    def at(self, host: str, key: str, now: float) -> float:
+        pool = self.pool.get(key, DOUBT_LEAST)
+        known = self.hosts.get((host, key))
+        return pool if known is None else pool + (known[0] - pool) * 0.5 ** ((now - known[1]) / FORGET)
+
+    def sound(self, host: str, keys: tuple[str, ...], now: float) -> float:
+        return (1 - max(self.at(host, key, now) for key in keys)) ** 2
+
+    def note(self, host: str, keys: tuple[str, ...], failed: bool, now: float) -> None:
+        most = max(self.pool.get(key, DOUBT_LEAST) for key in keys)
+        for key in keys:
+            pool, q = self.pool.get(key, DOUBT_LEAST), self.at(host, key, now)
+            if failed:
+                q += (q * FAILS / (q * FAILS + (1 - q) * CHANCE) - q) * (pool / most) ** 2
+            else:  # any answer shows that the host as a whole works, but not that it serves the other kinds
+                q = 0.0 if key == keys[0] else q * (1 - FAILS) / (q * (1 - FAILS) + (1 - q) * (1 - CHANCE))
+            self.hosts[host, key] = (q, now)
+            self.pool[key] = min(DOUBT_MOST, max(DOUBT_LEAST, pool + GAIN * (q - pool)))
+
+
+class Server:
+    def __init__(self, host: api.Host, now: float, credit: float, out: dict, began: float) -> None:
+        self.host, self.up, self.out = host, host.state == "up", out  # attempts out: when sent
+        self.began = began  # when it started, as far as is known; 0: long ago
+        self.others, self.others_at, self.ratio = 0.0, -math.inf, 1.0  # ratio: time against the fleet's
+        self.credit, self.credit_at, self.dice = credit, now, credit  # sends it may get from here while cold
+        self.place = stable_hash(host.id, "place")  # on the ring that gateways take their hosts from
+
+    def warmth(self, now: float, rules: api.Rules) -> float:
+        age = max(0.0, now - self.began)
+        cold = 0 < self.began and age < rules.cold_time
+        return rules.cold_share + (1 - rules.cold_share) * age / rules.cold_time if cold else 1.0
+
+
+class Fleet:
+    def __init__(self, settings: api.Settings, rng: random.Random) -> None:
+        self.rng, self.doubt = rng, Doubt()
+        self.servers: dict[str, Server] = {}
+        self.up: list[Server] = []  # listed as up, and not banned
+        self.ring: list[Server] = []  # the same in order of their places, which is one for all gateways
+        self.own: list[Server] = []  # those that this gateway uses
+        self.banned: dict[str, float] = {}  # hosts that an operator took out, and when
+        self.mean, self.dev, self.seen = dict[str, float](), dict[str, float](), dict[str, int]()
+        self.rate, self.rate_at = 0.0, 0.0  # own sends a second
+        self.done, self.done_at = 0.0, 0.0  # answers a second from warm hosts
+        self.warm, self.warm_at = 0.0, -math.inf  # weight of the warm hosts
+        self.able, self.able_at = 0.0, -math.inf  # hosts that can do work, in whole ones
+        self.out, self.held, self.reports = 0, 0.0, False  # own attempts out; mean load of reports, if any
+        self.pressure, self.answer_at = 0.0, 0.0
+        self.top = 1.0  # largest weight
+        self.retune(settings)
+
+    def retune(self, settings: api.Settings) -> None:
+        """A class that is new has no history; one that is gone keeps its own, for what is still open."""
+        self.set, self.limit = settings, max(1.0, LIMIT_MOST / settings.gateways)
+        for c in settings.classes.values():
+            if c.name not in self.mean:
+                self.mean[c.name] = self.dev[c.name] = min(c.aim / 5, c.deadline)
+                self.seen[c.name] = PRIOR
+
+    def listed(self, now: float, event: api.HostList) -> None:
+        if event.mode not in ("delta", "failed"):
+            named = {h.id for h in event.hosts}
+            for name, server in self.servers.items():
+                server.up = server.up and name in named
+        for host in event.hosts:
+            old = self.servers.get(host.id)
+            if old is None or (host.state == "up" and host.started > old.host.started):
+                # Credit starts anywhere below one send: first sends of many gateways are spread over time.
+                self.servers[host.id] = Server(host, now, self.rng.random(), old.out if old else {},
+                                               host.started)
+                self.doubt.forget(host.id)  # what its last life did says nothing of this one
+            else:
+                old.host, old.up = host, host.state == "up"
+        self.refresh()
+
+    def ban(self, now: float, event: api.Ban) -> None:
+        """What is known of a host ends with its ban: it was restarted meanwhile, or may have been."""
+        if event.out:
+            self.banned[event.host] = event.at
+        else:
+            since, old = self.banned.pop(event.host, event.at), self.servers.get(event.host)
+            self.doubt.forget(event.host)
+            if old is not None:
+                began = old.host.started if old.host.started > since else event.at
+                self.servers[event.host] = Server(old.host, now, self.rng.random(), old.out, began)
+        self.refresh()
+
+    def refresh(self) -> None:
+        self.up = [s for name, s in self.servers.items() if s.up and name not in self.banned]
+        self.ring = sorted(self.up, key=lambda s: s.place)
+        self.own, self.able_at = self.up, -math.inf
+        self.top = max((s.host.weight for s in self.up), default=1.0) or 1.0
+
+    def mean_held(self) -> float:
+        return self.held if self.reports else self.out * self.set.gateways / max(1, len(self.up))
+
+    def own_rate(self, now: float) -> float:
+        return self.rate * math.exp((self.rate_at - now) / RATE_SPAN)
+
+    def bears(self, s: Server, now: float) -> float:
+        """What a warm host of this size answers for this gateway, a second. Sends would count what fails as
+        well, and a mean over all hosts the cold ones, which then stay idle because they are."""
+        if now - self.warm_at > TICK:
+            rules = self.set.rules
+            self.warm, self.warm_at = sum(x.host.weight for x in self.own if x.warmth(now, rules) == 1.0), now
+        if self.warm > 0:
+            return self.done * math.exp((self.done_at - now) / RATE_SPAN) * s.host.weight / self.warm
+        return self.own_rate(now) / max(1, len(self.own))
+
+    def others(self, now: float) -> list[Server]:
+        """Hosts of other gateways, for when its own are taken. A cold one is left to those whose own it is:
+        what it bears is shared out among these."""
+        return [s for s in self.up if s.warmth(now, self.set.rules) == 1.0]
+
+    def patience(self, name: str) -> float:
+        """Time after which an attempt is taken for silent."""
+        return max(TICK, self.mean[name] + COPY_AT * self.dev[name])
+
+    def may_send(self, s: Server, now: float) -> bool:
+        if not s.up or len(s.out) >= int(self.limit + s.dice):
+            return False
+        rules = self.set.rules
+        warm = s.warmth(now, rules)
+        if warm == 1.0:
+            return True
+        # A cold host falls over when all gateways together send more than it bears: credit is saved up.
+        rate = warm * rules.fall_multiple * COLD_PART * self.bears(s, now)
+        s.credit = min(s.credit + (now - s.credit_at) * rate, max(1.0, rate * rules.fall_time))
+        s.credit_at = now
+        return s.credit >= 1.0
+
+    def full(self, now: float, keys: tuple[str, ...]) -> bool:
+        """Many gateways with one out at each server overdrive all, so what one has out in all is limited too:
+        by the hosts that can do the work, since cold and failing ones leave it to the rest."""
+        if now - self.able_at > ABLE_SPAN:
+            self.able_at, rules = now, self.set.rules
+            able = [s.warmth(now, rules) * self.doubt.sound(s.host.id, keys, now) for s in self.ring]
+            self.able = sum(able)
+            self.own = self.part(able)
+        slack = 1.0 + (OUT_SLACK - 1.0) * min(1.0, math.sqrt(OUT_EVEN / self.set.gateways))
+        return self.out >= max(2.0, slack * LIMIT_MOST * self.able / self.set.gateways)
+
+    def part(self, able: list[float]) -> list[Server]:
+        """The hosts that this gateway uses: of many gateways each sees little of a host, learns it late and
+        finds no connection to it. So it takes those that follow its own place on the ring, which is the same
+        number of gateways for each host, until they do the work of as many whole hosts as it needs."""
+        total, count = len(self.ring), self.set.gateways
+        need = OWN_PART * max(1.0, LIMIT_MOST * total / count)
+        if need >= total:
+            return self.up
+        at, own = total * self.set.index // count, list[Server]()
+        for n in range(total):
+            if need <= 0:
+                break
+            own.append(self.ring[(at + n) % total])
+            need -= able[(at + n) % total]
+        return own
+
+    def weight(self, s: Server, keys: tuple[str, ...], now: float) -> float:
+        size = s.host.weight / self.top * s.warmth(now, self.set.rules)
+        return size * self.doubt.sound(s.host.id, keys, now)
+
+    def score(self, s: Server, keys: tuple[str, ...], now: float) -> float:
+        fresh = 0.5 ** ((now - s.others_at) / REPORT_AGE)  # without a report it is as busy as the rest
+        load = len(s.out) + fresh * s.others + (1 - fresh) * self.mean_held()
+        size = max(s.host.weight, 1e-9)  # what a cold one may get is up to its credit
+        cross = self.set.prices.get("cross_zone", 0.0) * CROSS_WEIGHT if s.host.zone != self.set.zone else 0.0
+        sound = max(0.01, self.doubt.sound(s.host.id, keys, now))
+        return max(0.3, s.ratio) * (1 + load / SERVERS_OF_HOST) / size / sound + cross
+
+    def pick(self, now: float, keys: tuple[str, ...], fits: list[Server] | None) -> Server | None:
+        """Best of some servers, drawn by weight: as many as this gateway has fresh reports for, two at least,
+        since the best of all by an old report is the same server for all gateways."""
+        if self.full(now, keys):
+            return None
+        pool = self.own if fits is None else fits
+        few = max(2, math.ceil(CHOICES * len(pool) / self.set.gateways))
+        if few < len(pool):
+            draws = (pool[int(self.rng.random() * len(pool))] for _ in range(DRAWS))
+            sure = self.rng.random
+            fit = (s for s in draws if sure() < self.weight(s, keys, now) and self.may_send(s, now))
+            pool = list(itertools.islice(fit, few)) or pool
+        able = [s for s in pool if self.may_send(s, now)]
+        if not able and pool is not self.up and fits is None:
+            able = [s for s in self.others(now) if self.may_send(s, now)]
+        return min(able, key=lambda s: self.score(s, keys, now) + TICK * self.rng.random(), default=None)
+
+    def sent(self, s: Server, key: tuple[str, int], now: float) -> None:
+        s.out[key] = now
+        s.credit -= 1.0
+        self.out += 1
+        self.rate, self.rate_at = self.own_rate(now) + 1.0 / RATE_SPAN, now
+
+    def answered(self, now: float, event: api.Outcome, cls: api.ServiceClass | None,
+                 keys: tuple[str, ...]) -> None:
+        s = self.servers[event.host]  # known once listed, even when gone
+        out, high = len(s.out), event.result == "timeout"
+        self.out -= s.out.pop((event.id, event.attempt), None) is not None
+        if event.report:
+            held = event.report.get("inflight")
+            if held is None:
+                held = event.report.get("queue", 0.0) + SERVERS_OF_HOST * event.report.get("util", 0.0)
+            s.others, s.others_at = max(0.0, held - out), now
+            self.held += (QUICK if self.reports else 1.0) * (held - self.held)
+            self.reports, high = True, held > CONGESTED
+        if event.result in ("connect_failed", "full", "error", "reset", "ok"):
+            level = keys[:1] if event.result == "connect_failed" else keys
+            self.doubt.note(event.host, level, event.result != "ok", now)
+        if event.report or event.result in ("ok", "timeout"):
+            gain = max(QUICK / 2, 1 - math.exp((self.answer_at - now) / PRESS_SPAN))
+            self.pressure, self.answer_at = self.pressure + min(gain, 0.5) * (high - self.pressure), now
+        if event.result == "ok" and s.warmth(now, self.set.rules) == 1.0:
+            self.done = self.done * math.exp((self.done_at - now) / RATE_SPAN) + 1.0 / RATE_SPAN
+            self.done_at = now
+        if event.result != "ok" or cls is None:
+            return
+        s.ratio += QUICK * (min(event.elapsed / max(self.mean[cls.name], 1e-6), 10.0) - s.ratio)
+        self.seen[cls.name] += 1
+        gain, off = max(1 / self.seen[cls.name], GAIN), event.elapsed - self.mean[cls.name]
+        self.mean[cls.name] += gain * off
+        self.dev[cls.name] += gain * (abs(off) * (1 - gain) - self.dev[cls.name])
--- /dev/null
+++ b/calicomast/policy/gateway.py
@@ -0,0 +1,96 @@
+"""One gateway: which event goes where, and when it wants to be woken."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import math
+
+from calicomast import interface as api
+from calicomast.policy.accounts import GAIN, PlanUse
+from calicomast.policy.fleet import TICK
+from calicomast.policy.quota import Quota
+from calicomast.policy.work import GRANT_PRIOR, IDLE_MOST, Job
+
+
+class Gateway(Quota):
+    """The module's face: see the folder."""
+
+    def handle(self, now: float, event: api.Event) -> list[api.Action]:
+        self.out = []
+        match event:
+            case api.Request():
+                self.request(now, event)
+            case api.Outcome():
+                self.outcome(now, event)
+            case api.Counted():
+                self.counted(now, event)
+            case api.Timer():
+                self.tick(now)
+            case api.HostList():
+                self.fleet.listed(now, event)
+                if event.mode == "failed":
+                    self.watch_at = now + 1.0
+                elif event.mode == "cached" and self.set.discovery == "ask":
+                    self.out.append(api.Watch(True))
+            case api.Began() if event.id in self.jobs:
+                self.began(self.jobs[event.id], event)
+            case api.Ban():
+                self.fleet.ban(now, event)
+            case api.Drain():
+                self.draining = event.on
+            case api.Retune():
+                self.retune(now, event.settings)
+            case api.Gone() if event.id in self.jobs:
+                self.close(now, self.jobs[event.id])
+        self.drain_queue(now)
+        while self.due and self.due[0][1] not in self.jobs:
+            heapq.heappop(self.due)
+        at = min(self.due[0][0] if self.due else math.inf, self.watch_at)
+        if at < self.timer_at:  # what is due next; nothing when idle
+            self.timer_at = at
+            self.out.append(api.SetTimer(max(0.0, at - now), 0))
+        return self.out
+
+    def retune(self, now: float, settings: api.Settings) -> None:
+        """For what comes from now on: a job keeps its class, its plan and the limits that it began with."""
+        self.set = settings
+        self.fleet.retune(settings)
+        self.counter.retune(settings)
+        for key in itertools.product(settings.plans, (0, 1)):
+            self.uses.setdefault(key, PlanUse(now, GRANT_PRIOR[key[1]]))
+        self.top = max(c.worth for c in settings.classes.values())
+
+    def request(self, now: float, req: api.Request) -> None:
+        cls, plan = self.set.classes[req.cls], self.set.plans[req.plan]
+        acct = self.accounts.pop(req.customer, None)
+        if acct is None or acct.plan != plan:
+            acct = self.account(now, req, plan, acct)
+        self.accounts[req.customer], acct.seen_at = acct, now
+        oldest = next(iter(self.accounts.values()))
+        if now - oldest.seen_at > IDLE_MOST and not (oldest.call or oldest.open_here):
+            del self.accounts[oldest.name]
+        worth = cls.worth * plan.price * req.units
+        self.worth += (GAIN if self.worth else 1.0) * (worth - self.worth)
+        job = self.jobs[req.id] = Job(req, cls, plan, acct, now, now + req.left, worth,
+                                      worth / max(self.fleet.mean[cls.name], 1e-6),
+                                      ("host", "class " + cls.name, "plan " + plan.name), self.set.limits)
+        if req.left < 2 * TICK or self.shed(now, job):  # no check would come round in time, or no room
+            self.refuse(now, job, 0.0)
+        elif acct.ceiling_room(now) < req.units:
+            self.refuse(now, job, (req.units - acct.cap) * acct.spread / plan.ceiling_rate)
+        elif plan.rate:
+            self.want_units(now, job)
+        else:
+            self.want_slot(now, job)
+
+    def tick(self, now: float) -> None:
+        if now >= self.timer_at - 1e-6:
+            self.timer_at = math.inf
+        if now >= self.watch_at:
+            self.watch_at = math.inf
+            self.out.append(api.Watch(True))
+        while self.due and self.due[0][0] <= now + 1e-6:
+            name = heapq.heappop(self.due)[1]
+            if name in self.jobs:
+                self.check(now, self.jobs[name])
--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -179,5 +179,7 @@
         "calicomast.net.bans", "calicomast.net.clients", "calicomast.net.config", "calicomast.net.counter",
         "calicomast.net.discovery", "calicomast.net.gateway", "calicomast.net.hosts",
         "calicomast.net.listing", "calicomast.net.lives", "calicomast.net.resp", "calicomast.policy",
+        *(f"calicomast.policy.{name}" for name in (
+            "accounts", "attempts", "fleet", "gateway", "quota", "shedding", "work")),
         "calicomast.settings"]
     assert not {"click", "rich", "aiohttp.web"} & set(told)
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -2,7 +2,7 @@
 from helpers import World, of, plan, settings
 
 from calicomast import interface as api
-from calicomast.policy import PlanUse
+from calicomast.policy.accounts import PlanUse
 
 
 def served(w, tries, **kw):
