One line where a port is in use, and an upgrade in a rush of connections tested

Tested: a port in use under the demo; folders that cannot be made; an upgrade under 40 clients that connect, ask five commands and go, with the key edge and without: each command is answered, if need be on a second connection.

--- a/calicomast/lab/crowd.py
+++ b/calicomast/lab/crowd.py
@@ -44,11 +44,13 @@
     depth: int = 1500
     work: float = 0.002  # s that a host takes for a command
     other: bool = False  # one more pipeline, from another source
+    churn: int = 0  # clients that connect, ask once whether the gateway serves, and go, again and again
 
 
 KINDS = (Kind("calm", 0), Kind("one pipeline", 1), Kind("four pipelines", 4),
          Kind("four, slow hosts", 4, work=0.02),
-         Kind("40 of one source beside one", 40, depth=50, other=True))
+         Kind("40 of one source beside one", 40, depth=50, other=True),
+         Kind("connect and close", 0, churn=16))
 
 
 def command(customer: int, name: bytes) -> bytes:
@@ -85,8 +87,19 @@
             self.answered = 0
 
 
+async def churn(place: str, end: float, counts: Counter[str]) -> None:
+    host, _, port = place.rpartition(":")
+    while time.monotonic() < end:
+        try:
+            line = Line(*await asyncio.open_connection(host, int(port)))
+            counts["served" if await line.ask([b"PING"]) == b"+" else "refused"] += 1
+            line.writer.close()
+        except (OSError, EOFError):
+            counts["refused"] += 1
+
+
 async def press(place: str, kind: Kind, seconds: float) -> list[dict[str, int]]:
-    """What each pipeline got; the one of the other source is the last."""
+    """What each pipeline got, the one of the other source last; or what those that come and go did."""
     host, _, port = place.rpartition(":")
     loop, made = asyncio.get_running_loop(), []
     for number in range(kind.pipelines + kind.other):
@@ -94,10 +107,12 @@
         _, pipeline = await loop.create_connection(
             lambda number=number: Pipeline(number, kind.depth), host, int(port), local_addr=source)
         made.append(pipeline)
-    await asyncio.sleep(seconds)
+    churned: Counter[str] = Counter()
+    end = time.monotonic() + seconds
+    await asyncio.gather(asyncio.sleep(seconds), *(churn(place, end, churned) for _ in range(kind.churn)))
     for pipeline in made:
         pipeline.transport.abort()
-    return [dict(pipeline.counts) for pipeline in made]
+    return [dict(pipeline.counts) for pipeline in made] + ([dict(churned)] if kind.churn else [])
 
 
 async def light(number: int, place: str, end: float, told: list[tuple[float, bytes]]) -> None:
@@ -151,6 +166,8 @@
                "light: 99th percentile ms": times[int(len(times) * 0.99)] * 1000,
                "light: refused %": 100 * sum(answer != b"$" for _, answer in told) / len(told),
                "CPU a served request, ms": 1000 * spent / max(1, all_served)}
+    if kind.churn:
+        figures["connections a second"] = sum(served) / seconds
     if kind.pipelines:
         figures["pipelines: served a second"] = sum(served) / seconds
     if kind.pipelines > 1:
--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -5,6 +5,7 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -13,6 +14,9 @@
 from pathlib import Path
 
 import pytest
+from netkit import on_loop
+
+from calicomast.demo.fleet import Fleet, StartFailed
 
 ROOT = Path(__file__).resolve().parent.parent
 SMALL = ("demo", "--gateways", "2", "--hosts", "2", "--json")
@@ -124,6 +128,23 @@
     assert status == 0 and "\x1b" not in out and "quota kept: yes" in out and "gateway-0" in out
 
 
+@on_loop
+async def test_a_port_in_use_is_told_by_the_process_that_needs_it(scratch):
+    fleet = Fleet(scratch, 1, 1)
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        fleet.gateways[0].places["listen"] = f"127.0.0.1:{taken.getsockname()[1]}"
+        with pytest.raises(StartFailed, match="gateway-0: .*[Aa]ddress already in use"):
+            await fleet.start()
+        await fleet.stop()
+    assert not any(part.alive for part in fleet.parts())
+
+
+@pytest.mark.parametrize("folder", ["README.md/x", "/proc/none"])
+def test_a_folder_that_cannot_be_made_is_told_in_one_line(folder):
+    status, out, err = Command(*SMALL, "--folder", folder).result()
+    assert status == 2 and err.startswith("cinderrouter demo: ") and err.count("\n") == 1 and not out
+
+
 # The launcher
 
 
--- a/tests/test_net_process.py
+++ b/tests/test_net_process.py
@@ -1,6 +1,7 @@
 """The program as the platform runs it: configuration, readiness, signals."""
 
 import asyncio
+import itertools
 import json
 import os
 import signal
@@ -23,6 +24,7 @@
     read_reply,
     terms,
     told,
+    until,
 )
 
 from calicomast.net.config import ConfigError, read_config, reread_config
@@ -236,6 +238,48 @@
             assert new.returncode is None
 
 
+@pytest.mark.parametrize("more", [{"edge": {}}, {}])
+@on_loop
+async def test_an_upgrade_in_a_rush_of_connections_loses_nothing(more, tmp_path):
+    async with StubHost() as host, StubCounter() as counter, StubDiscovery() as discovery:
+        discovery.servers = [entry(host)]
+        config = tmp_path / "config.json"
+        config.write_text(json.dumps(told([entry(host)], discovery.port, counter.port) | more))
+        async with Platform(tmp_path, config) as platform:
+            old, _ = await platform.start()
+            ended, answers, lost, numbers = asyncio.Event(), [], [], itertools.count()
+
+            async def ask():
+                """Five commands on one connection; what its end leaves unread is sent once more."""
+                left = [command(b"r%d" % next(numbers), customer=b"%016x" % n) for n in range(5)]
+                for _ in range(2):
+                    reader, writer = await asyncio.open_connection("127.0.0.1", platform.port)
+                    writer.write(b"".join(left))
+                    try:
+                        while left and (reply := await read_reply(reader)):
+                            answers.append(reply[:1])
+                            left.pop(0)
+                    except OSError:
+                        pass
+                    writer.close()
+                lost.extend(left)
+
+            async def keep_asking():
+                while not ended.is_set():
+                    await ask()
+
+            rush = [asyncio.create_task(keep_asking()) for _ in range(40)]
+            await until(lambda: len(answers) > 200)
+            await platform.start()
+            old.send_signal(signal.SIGTERM)
+            assert await old.wait() == 0
+            seen = len(answers)
+            await until(lambda: len(answers) > seen + 200)
+            ended.set()
+            await asyncio.gather(*rush)
+            assert not lost and set(answers) <= {b"$", b"-"}
+
+
 @on_loop
 async def test_the_new_process_serves_on_when_the_old_one_dies_midway(tmp_path):
     async with StubHost() as host, StubCounter() as counter, StubDiscovery() as discovery:
