--- a/calicomast/net/__main__.py
+++ b/calicomast/net/__main__.py
@@ -21,11 +21,7 @@
         loop.add_signal_handler(number, told.set)
     node = GatewayNode(config)
     loop.add_signal_handler(signal.SIGHUP, node.reload)
-    try:
-        port = await node.start()
-    except OSError:
-        await node.discovery.close()  # else its library adds lines to the one that tells why
-        raise
+    port = await node.start()
     gc.freeze()  # what the start made stays for good: no collection need look at it again
     logging.getLogger(__name__).info("%s listens on %s:%d", config.name, config.listen[0], port)
     await told.wait()
--- a/calicomast/net/discovery.py
+++ b/calicomast/net/discovery.py
@@ -14,8 +14,7 @@
 from time import monotonic
 from typing import Any
 
-import aiohttp
-
+from calicomast.net.fetch import Fetcher, host_of
 from calicomast.net.listing import Address, Listing, read_list
 
 WAIT = 5.0  # s that discovery may hold a watch open
@@ -28,9 +27,12 @@
 log = logging.getLogger(__name__)
 
 
+PATH = "/v1/endpoints"
+Params = dict[str, int | str]
+
+
 def url(address: Address) -> str:
-    host, port = address
-    return f"http://{f'[{host}]' if ':' in host else host}:{port}/v1/endpoints"
+    return f"http://{host_of(address)}{PATH}"
 
 
 class Backoff:
@@ -49,10 +51,9 @@
         return crowd * self.rng.uniform(BACKOFF_LEAST, most)
 
 
-async def ask(session: aiohttp.ClientSession, place: str, params: dict[str, int], limit: float) -> Listing:
-    async with session.get(place, params=params, timeout=aiohttp.ClientTimeout(total=limit)) as answer:
-        answer.raise_for_status()
-        return read_list(await answer.json(content_type=None))
+async def ask(fetcher: Fetcher, address: Address, params: Params, limit: float) -> Listing:
+    query = "&".join(f"{name}={value}" for name, value in params.items())
+    return read_list(await fetcher.get(address, f"{PATH}?{query}" if query else PATH, limit))
 
 
 class Discovery:
@@ -61,20 +62,22 @@
 
     def __init__(self, address: Address, version: int | None, told: Callable[[Listing], None],
                  failed: Callable[[], None], gateways: int = 1, seed: int = 0) -> None:
-        self.url = url(address)
+        self.address = address
         self.version, self.told, self.failed = version, told, failed
         self.backoff = Backoff(gateways, random.Random(seed))
-        self.session: aiohttp.ClientSession | None = None
+        self.fetcher = Fetcher()
         self.watching: asyncio.Task[None] | None = None
         self.fetching: set[asyncio.Task[None]] = set()
         self.heard: float | None = None  # when the last answer came
 
-    async def get(self, params: dict[str, int], limit: float) -> None:
-        if self.session is None:
-            self.session = aiohttp.ClientSession(trust_env=False)
-        asked = self.url
-        listing = await ask(self.session, asked, params, limit)
-        if asked == self.url:  # else it moved meanwhile, and its versions are others
+    @property
+    def url(self) -> str:
+        return url(self.address)
+
+    async def get(self, params: Params, limit: float) -> None:
+        asked = self.address
+        listing = await ask(self.fetcher, asked, params, limit)
+        if asked == self.address:  # else it moved meanwhile, and its versions are others
             self.take(listing)
             self.heard = monotonic()
 
@@ -92,7 +95,7 @@
         return {"version": self.version, "age": None if age is None else round(age, 1), "from": self.url,
                 "failures": self.backoff.fails}
 
-    async def attempt(self, params: dict[str, int], limit: float) -> bool:
+    async def attempt(self, params: Params, limit: float) -> bool:
         try:
             await self.get(params, limit)
         except Exception as err:  # whatever it is, the watch must outlive it
@@ -129,15 +132,18 @@
 
     def move(self, address: Address, version: int | None = None) -> None:
         """To another address: a watch begins again there, with the whole list unless that was got already."""
-        self.url, self.version = url(address), version
+        self.address, self.version = address, version
         if self.watching is not None:
             self.watch(False)
             self.watch(True, 0.0)
 
     async def contact(self, address: Address) -> Listing:
         """The whole list as it is told at another address, without effect here. Raises what went wrong."""
-        async with aiohttp.ClientSession(trust_env=False) as session:
-            return await ask(session, url(address), {}, ANSWER)
+        fetcher = Fetcher()
+        try:
+            return await ask(fetcher, address, {}, ANSWER)
+        finally:
+            fetcher.close()
 
     def fetch(self) -> None:
         task: asyncio.Task[Any] = asyncio.get_running_loop().create_task(self.attempt({}, ANSWER))
@@ -146,5 +152,4 @@
 
     async def close(self) -> None:
         self.watch(False)
-        if self.session is not None:
-            await self.session.close()
+        self.fetcher.close()
--- a/calicomast/net/replicas.py
+++ b/calicomast/net/replicas.py
@@ -14,10 +14,11 @@
 from dataclasses import replace
 from pathlib import Path
 from typing import Any
+from urllib.parse import quote
 
 from calicomast import interface as api
 from calicomast.net.bans import Kept
-from calicomast.net.discovery import Discovery, url
+from calicomast.net.discovery import Discovery, Params
 from calicomast.net.listing import STATE, Address, Listing, read_list, write_address
 
 KEEP_EVERY = 5.0  # s between two times that the list is written
@@ -36,7 +37,7 @@
     def __init__(self, address: Address, others: tuple[Address, ...], folder: Path | None, name: str,
                  *args: Any) -> None:
         super().__init__(address, *args)
-        self.places, self.at = [url(place) for place in (address, *others)], 0
+        self.places, self.at = [address, *others], 0
         self.epoch, self.newest = "", 0  # of the last list; its version
         self.list: dict[str, tuple[api.Host, Address | None]] = {}
         self.kept = Kept(folder / f"{name}-list.json" if folder else None)
@@ -59,14 +60,15 @@
         self.version, self.heard = self.newest, time.monotonic() - max(0.0, time.time() - at)
         return replace(listing, hosts=replace(listing.hosts, mode="cached"))
 
-    async def get(self, params: dict[str, Any], limit: float) -> None:
-        await super().get({**params, "epoch": self.epoch} if self.epoch and params else params, limit)
+    async def get(self, params: Params, limit: float) -> None:
+        known = {"epoch": quote(self.epoch, "")} if self.epoch and params else {}
+        await super().get({**params, **known}, limit)
 
-    async def attempt(self, params: dict[str, int], limit: float) -> bool:
+    async def attempt(self, params: Params, limit: float) -> bool:
         done = await super().attempt(params, limit)
         if not done and len(self.places) > 1:
             self.at = (self.at + 1) % len(self.places)
-            self.url = self.places[self.at]
+            self.address = self.places[self.at]
         return done
 
     def take(self, listing: Listing) -> None:
@@ -108,7 +110,7 @@
             log.error("%s: %s; the list is not kept", self.kept.path, err)
 
     def move(self, address: Address, version: int | None = None) -> None:
-        self.places[0], self.at, self.epoch = url(address), 0, ""
+        self.places[0], self.at, self.epoch = address, 0, ""
         super().move(address, version)
 
     def told_of(self) -> dict[str, Any]:
--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -198,9 +198,9 @@
     assert [name for name in told if name.startswith("calicomast")] == [
         "calicomast", "calicomast.interface", "calicomast.net", "calicomast.net.__main__",
         "calicomast.net.bans", "calicomast.net.clients", "calicomast.net.config", "calicomast.net.counter",
-        "calicomast.net.discovery", "calicomast.net.gateway", "calicomast.net.hosts",
+        "calicomast.net.discovery", "calicomast.net.fetch", "calicomast.net.gateway", "calicomast.net.hosts",
         "calicomast.net.listing", "calicomast.net.lives", "calicomast.net.resp", "calicomast.policy",
         *(f"calicomast.policy.{name}" for name in (
             "accounts", "attempts", "fleet", "gateway", "quota", "shedding", "work")),
         "calicomast.settings"]
-    assert not {"click", "rich", "aiohttp.web"} & set(told)
+    assert not {"click", "rich", "aiohttp"} & set(told)
