--- /dev/null
+++ b/calicomast/base/faults.py
@@ -0,0 +1,21 @@
+"""Configurations that cannot be used, told in one line."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+
+class ConfigError(Exception):
+    """The configuration cannot be used; the text says why in one line."""
+
+
+@contextmanager
+def in_one_line(path: str) -> Iterator[None]:
+    """Whatever is wrong with the file becomes a ConfigError."""
+    try:
+        yield
+    except KeyError as err:
+        raise ConfigError(f"{path}: missing or unknown {err}") from err
+    except (OSError, ValueError, TypeError, AttributeError, OverflowError, RecursionError) as err:
+        raise ConfigError(f"{path}: {' '.join(str(err).split())}") from err
--- a/calicomast/membership/service.py
+++ b/calicomast/membership/service.py
@@ -11,8 +11,8 @@
 from time import monotonic
 from typing import Any
 
+from calicomast.base.listing import read_address, write_address
 from calicomast.membership.core import ALIVE, Address, Send, Swim
-from calicomast.net.listing import read_address, write_address
 
 MOST_WORD = 64  # characters of a cluster's name
 
--- a/calicomast/net/__main__.py
+++ b/calicomast/net/__main__.py
@@ -10,7 +10,8 @@
 
 import uvloop
 
-from calicomast.net.config import Config, ConfigError, read_config
+from calicomast.base.faults import ConfigError
+from calicomast.net.config import Config, read_config
 from calicomast.net.gateway import GatewayNode
 
 
--- a/calicomast/net/changes.py
+++ b/calicomast/net/changes.py
@@ -16,10 +16,11 @@
 from pathlib import Path
 from typing import Any
 
+from calicomast.base.faults import ConfigError, in_one_line
+from calicomast.base.listing import Listing, write_address
 from calicomast.net import keys
 from calicomast.net.bans import Kept
-from calicomast.net.config import Config, ConfigError, in_one_line, rebuild, reread_config
-from calicomast.net.listing import Listing, write_address
+from calicomast.net.config import Config, rebuild, reread_config
 from calicomast.policy import Gateway
 
 PREPARE_WITHIN = 3.0  # s
--- a/calicomast/net/config.py
+++ b/calicomast/net/config.py
@@ -5,21 +5,17 @@
 import json
 import os
 import socket
-from collections.abc import Iterator, Mapping
-from contextlib import contextmanager
+from collections.abc import Mapping
 from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
 
 from calicomast import interface as api
-from calicomast.net.listing import Address, Listing, read_address, read_list
+from calicomast.base.faults import ConfigError, in_one_line
+from calicomast.base.listing import Address, Listing, read_address, read_list
 from calicomast.settings import read_settings, seconds
 
 
-class ConfigError(Exception):
-    """The configuration cannot be used; the text says why in one line."""
-
-
 @dataclass(frozen=True, slots=True)
 class Config:
     name: str
@@ -45,17 +41,6 @@
     tree: dict[str, Any]  # the file itself: a later one must be as complete
 
 
-@contextmanager
-def in_one_line(path: str) -> Iterator[None]:
-    """Whatever is wrong with the file becomes a ConfigError."""
-    try:
-        yield
-    except KeyError as err:
-        raise ConfigError(f"{path}: missing or unknown {err}") from err
-    except (OSError, ValueError, TypeError, AttributeError, OverflowError, RecursionError) as err:
-        raise ConfigError(f"{path}: {' '.join(str(err).split())}") from err
-
-
 def read_config(env: Mapping[str, str] = os.environ) -> Config:
     path = env.get("RELAY_CONFIG")
     if not path:
--- a/calicomast/net/connects.py
+++ b/calicomast/net/connects.py
@@ -11,8 +11,8 @@
 import weakref
 from collections.abc import Callable
 
+from calicomast.base.listing import Address
 from calicomast.net.hosts import Attempt, Connection, Hosts, Pool
-from calicomast.net.listing import Address
 
 
 class Bounds:
--- a/calicomast/net/control.py
+++ b/calicomast/net/control.py
@@ -11,11 +11,11 @@
 
 from aiohttp import web
 
+from calicomast.base.calls import read_body
+from calicomast.base.listing import Address
 from calicomast.net.bans import UnknownHost
-from calicomast.net.calls import read_body
 from calicomast.net.changes import CONFIRM_LEAST, CONFIRM_MOST, Refused
 from calicomast.net.keys import MOST_BODY, MOST_TOLD, is_number
-from calicomast.net.listing import Address
 
 MOST_CALLERS = 16  # connections; past them the one that came first goes
 CALL_WITHIN = 6.0  # s after which a connection ends, with or without a call
--- a/calicomast/net/counter.py
+++ b/calicomast/net/counter.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from time import monotonic
 
-from calicomast.net.listing import Address
+from calicomast.base.listing import Address
 
 LINES = 4  # connections, so that a part that is slow does not hold up the names of the others
 KEEP_ALIVE = 2.0  # s without a call after which a `ping`, which costs nothing, keeps a connection open
--- a/calicomast/net/discovery.py
+++ b/calicomast/net/discovery.py
@@ -14,8 +14,8 @@
 from time import monotonic
 from typing import Any
 
+from calicomast.base.listing import Address, Listing, read_list
 from calicomast.net.fetch import Fetcher, host_of
-from calicomast.net.listing import Address, Listing, read_list
 
 WAIT = 5.0  # s that discovery may hold a watch open
 ANSWER = 5.0  # s past that, or for the whole list, after which the call is given up: it waits its turn there
--- a/calicomast/net/fetch.py
+++ b/calicomast/net/fetch.py
@@ -13,7 +13,7 @@
 
 import h11
 
-from calicomast.net.listing import Address
+from calicomast.base.listing import Address
 
 MOST_BODY = 16 * 1024 * 1024  # bytes of an answer: a list of 1,000 hosts takes 150 kB
 PIECE = 64 * 1024
--- a/calicomast/net/gateway.py
+++ b/calicomast/net/gateway.py
@@ -16,13 +16,13 @@
 from typing import Any
 
 from calicomast import interface as api
+from calicomast.base.listing import Address, Listing, write_address
 from calicomast.net.bans import Bans, UnknownHost
 from calicomast.net.clients import ClientServer, Slot
 from calicomast.net.config import Config
 from calicomast.net.counter import Counter
 from calicomast.net.discovery import Discovery
 from calicomast.net.hosts import Attempt, Hosts
-from calicomast.net.listing import Address, Listing, write_address
 from calicomast.net.lives import Lives
 from calicomast.net.resp import MOST_LARGE
 from calicomast.policy import Gateway
--- a/calicomast/net/hosts.py
+++ b/calicomast/net/hosts.py
@@ -16,7 +16,7 @@
 
 import hiredis
 
-from calicomast.net.listing import Address
+from calicomast.base.listing import Address
 from calicomast.net.resp import END, NO_REPLY, SMALL, Reader
 from calicomast.settings import read_report
 
--- a/calicomast/net/keys.py
+++ b/calicomast/net/keys.py
@@ -14,8 +14,8 @@
 from typing import Any
 
 from calicomast import interface as api
+from calicomast.base.listing import read_address
 from calicomast.net.config import kind
-from calicomast.net.listing import read_address
 from calicomast.settings import DISCOVERY, EFFECT, REPORT
 
 MOST_BODY = 512 * 1024  # bytes of a candidate
--- a/calicomast/net/replicas.py
+++ b/calicomast/net/replicas.py
@@ -17,9 +17,9 @@
 from urllib.parse import quote
 
 from calicomast import interface as api
+from calicomast.base.listing import STATE, Address, Listing, read_list, write_address
 from calicomast.net.bans import Kept
 from calicomast.net.discovery import Discovery, Params
-from calicomast.net.listing import STATE, Address, Listing, read_list, write_address
 
 KEEP_EVERY = 5.0  # s between two times that the list is written
 WORD = {state: word for word, state in STATE.items()}
--- a/calicomast/registry/__main__.py
+++ b/calicomast/registry/__main__.py
@@ -11,7 +11,7 @@
 
 import uvloop
 
-from calicomast.net.config import ConfigError
+from calicomast.base.faults import ConfigError
 from calicomast.registry.config import Config, read_config
 from calicomast.registry.core import Registry
 from calicomast.registry.service import Service
--- a/calicomast/registry/config.py
+++ b/calicomast/registry/config.py
@@ -9,8 +9,8 @@
 from pathlib import Path
 from typing import Any
 
-from calicomast.net.config import ConfigError, in_one_line
-from calicomast.net.listing import Address, read_address
+from calicomast.base.faults import ConfigError, in_one_line
+from calicomast.base.listing import Address, read_address
 from calicomast.registry.core import STATES, Host
 
 KEYS = {"listen", "hosts", "watchers", "learn_ms"}
--- a/calicomast/registry/service.py
+++ b/calicomast/registry/service.py
@@ -13,8 +13,8 @@
 
 from aiohttp import web
 
-from calicomast.net.calls import hand_out, read_body
-from calicomast.net.config import ConfigError
+from calicomast.base.calls import hand_out, read_body
+from calicomast.base.faults import ConfigError
 from calicomast.registry.config import Config, read_host, read_hosts
 from calicomast.registry.core import TTL_LEAST, TTL_MOST, Answer, Host, Registry, Stale
 
--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -196,10 +196,11 @@
         [sys.executable, "-c", "import calicomast.net.__main__, sys; print(*sorted(sys.modules))"], cwd=ROOT,
         capture_output=True, text=True, check=True).stdout.split()
     assert [name for name in told if name.startswith("calicomast")] == [
-        "calicomast", "calicomast.interface", "calicomast.net", "calicomast.net.__main__",
+        "calicomast", "calicomast.base", "calicomast.base.faults", "calicomast.base.listing",
+        "calicomast.interface", "calicomast.net", "calicomast.net.__main__",
         "calicomast.net.bans", "calicomast.net.clients", "calicomast.net.config", "calicomast.net.counter",
         "calicomast.net.discovery", "calicomast.net.fetch", "calicomast.net.gateway", "calicomast.net.hosts",
-        "calicomast.net.listing", "calicomast.net.lives", "calicomast.net.resp", "calicomast.policy",
+        "calicomast.net.lives", "calicomast.net.resp", "calicomast.policy",
         *(f"calicomast.policy.{name}" for name in (
             "accounts", "attempts", "fleet", "gateway", "quota", "shedding", "work")),
         "calicomast.settings"]
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -29,6 +29,20 @@
         assert set(re.findall(r"^(?:import|from) (\w+)", text, re.MULTILINE)) <= PURE
 
 
+ALLOWED = {"base": {"interface"}, "policy": {"interface"},
+           "net": {"interface", "settings", "policy", "base", "membership"}, "membership": {"base"},
+           "registry": {"base"}, "standins": set(), "demo": {"standins"}, "lab": {"demo", "standins"}}
+
+
+@pytest.mark.parametrize("package", ALLOWED)
+def test_packages_beside_the_gateway_import_nothing_of_it(package):
+    for file in (ROOT / "calicomast" / package).glob("*.py"):
+        text = file.read_text()
+        used = set(re.findall(r"^\s*(?:from|import) calicomast\.(\w+)", text, re.MULTILINE))
+        used |= set(re.findall(r"^\s*from calicomast import (\w+)", text, re.MULTILINE))
+        assert used - {package} <= ALLOWED[package], file
+
+
 def test_readme_example_runs():
     text = (ROOT / "README.md").read_text()
     code = text.split("```python\n")[1].split("```")[0]
--- a/tests/test_net_discovery.py
+++ b/tests/test_net_discovery.py
@@ -7,9 +7,9 @@
 from netkit import SERVED, SETTINGS, Node, StubHost, command, entry, on_loop
 
 from calicomast import interface as api
+from calicomast.base.listing import read_list
 from calicomast.net import discovery
 from calicomast.net.discovery import Backoff
-from calicomast.net.listing import read_list
 
 
 @on_loop
--- a/tests/test_net_process.py
+++ b/tests/test_net_process.py
@@ -27,7 +27,8 @@
     until,
 )
 
-from calicomast.net.config import ConfigError, read_config, reread_config
+from calicomast.base.faults import ConfigError
+from calicomast.net.config import read_config, reread_config
 
 ROOT = Path(__file__).resolve().parent.parent
 PING = b"*1\r\n$4\r\nPING\r\n"
--- a/tests/test_net_replicas.py
+++ b/tests/test_net_replicas.py
@@ -10,8 +10,8 @@
 from netkit import SERVED, Node, StubHost, command, entry, on_loop, told, until
 from test_registry_service import Serving
 
+from calicomast.base.listing import read_list
 from calicomast.net import discovery, replicas
-from calicomast.net.listing import read_list
 from calicomast.net.replicas import Behind, Replicas
 
 ASK = {"known": {"version": 0, "full": True, "servers": []}}
