A connection whose commands cannot be taken ends alone; the turns of others go on

Cause: an error within a turn left the turns marked as due with nothing to go on with, so that every connection waited for good. Change: such a connection is logged and ended.

--- a/calicomast/net/admission.py
+++ b/calicomast/net/admission.py
@@ -327,6 +327,10 @@
         except hiredis.ProtocolError:
             self.unlooked = False
             self.fail(b"-ERR protocol error\r\n")
+        except Exception:  # one connection must not take the others' turns along
+            log.exception("a connection's commands could not be taken")
+            self.unlooked, self.broken = False, True
+            self.transport.abort()
         self.throttle()
         if not self.unlooked and not self.pending:
             self.flush()
--- a/tests/test_net_turns.py
+++ b/tests/test_net_turns.py
@@ -266,6 +266,25 @@
             await asyncio.sleep(0)
 
 
+@on_loop
+async def test_a_connection_that_fails_ends_alone_and_turns_go_on(scratch):
+    async with StubHost() as host, Node(host, path=scratch, more=EDGE) as node:
+        handle = node.node.command
+
+        def command_fails(slot, told):
+            if told == [b"FAIL"]:
+                raise RuntimeError("planted")
+            handle(slot, told)
+
+        node.node.command = command_fails
+        bad, other = await node.connect(), await node.connect()
+        bad[1].write(b"*1\r\n$4\r\nFAIL\r\n" * 3)
+        assert await bad[0].read() == b""
+        other[1].write(b"*1\r\n$4\r\nPING\r\n")
+        assert await read_reply(other[0]) == b"+PONG\r\n"
+        await until(lambda: len(node.node.clients.clients) == 1)
+
+
 @pytest.mark.parametrize("halves", [True, False])
 @on_loop
 async def test_pipelines_fit_themselves_to_what_hosts_have_room_for(halves, monkeypatch):
