--- a/calicomast/cli.py
+++ b/calicomast/cli.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import sys
+from collections.abc import Callable
 from pathlib import Path
-from typing import Any
+from typing import IO, Any
 
 import click
 
@@ -70,13 +71,14 @@
     shares of commands from 0 to 1."""
 
 
-def started(make: object, listen: tuple[str, int], control: tuple[str, int], beside: object = None) -> None:
+def started(make: Callable[[], Any], listen: tuple[str, int], control: tuple[str, int],
+            beside: Callable[[], Any] | None = None) -> None:
     import uvloop
 
     from calicomast.standins.service import run
 
     try:
-        uvloop.run(run(make(), listen, control, beside))  # type: ignore[operator,arg-type]
+        uvloop.run(run(make(), listen, control, beside))
     except OSError as err:
         raise click.ClickException(str(err)) from err
 
@@ -124,14 +126,14 @@
 @standin.command()
 @addresses
 @click.option("--hosts", type=click.File(), help='A file {"servers": [...]} in the protocol\'s form.')
-def discovery(listen: tuple[str, int], control: tuple[str, int], seed: int, hosts: object) -> None:
+def discovery(listen: tuple[str, int], control: tuple[str, int], seed: int, hosts: IO[str] | None) -> None:
     """Discovery: one list of hosts from a file. A list that lives is `python -m calicomast.registry`."""
     import json
 
     from calicomast.standins.discovery import Discovery
 
     try:
-        servers = json.load(hosts)["servers"] if hosts else []  # type: ignore[arg-type]
+        servers = json.load(hosts)["servers"] if hosts else []
     except (ValueError, KeyError, TypeError) as err:
         raise click.ClickException(f"the file of hosts: {err!r}") from err
 
--- a/calicomast/demo/fleet.py
+++ b/calicomast/demo/fleet.py
@@ -11,8 +11,9 @@
 import socket
 import sys
 from asyncio.subprocess import DEVNULL, PIPE, Process
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from pathlib import Path
+from types import MappingProxyType
 from typing import Any
 
 import aiohttp
@@ -23,6 +24,8 @@
 ENDS_WITHIN = 5.0  # s after SIGTERM at which a process is killed
 PR_SET_PDEATHSIG = 1
 ZONES = ("a", "b")
+NOTHING: Mapping[str, str] = MappingProxyType({})
+EDGE: Mapping[str, Any] = MappingProxyType({"edge": {}})
 
 CLASSES = [  # times in seconds: wanted within, deadline
     {"name": "reading", "slo": 6 * S // 5, "deadline": 3 * S, "effect": "pure", "gain": 1.0},
@@ -60,7 +63,8 @@
 class Part:
     """One process. Its log is FOLDER/NAME.log; a start again appends to it."""
 
-    def __init__(self, name: str, folder: Path, module: str, *args: str, env: Mapping[str, str] = {}) -> None:  # noqa: B006
+    def __init__(self, name: str, folder: Path, module: str, *args: str,
+                 env: Mapping[str, str] = NOTHING) -> None:
         self.name, self.folder, self.command = name, folder, ("-B", "-m", module, *args)
         self.env = {**os.environ, **env}
         self.process: Process | None = None
@@ -123,7 +127,7 @@
     """A list service, a counter, hosts that register themselves, and gateways, all on 127.0.0.1."""
 
     def __init__(self, folder: Path, gateways: int, hosts: int, work: float = 0.02, slots: int = 4,
-                 plans: list[Json] = PLANS, more: Json = {"edge": {}}) -> None:  # noqa: B006
+                 plans: Sequence[Json] = PLANS, more: Mapping[str, Any] = EDGE) -> None:
         """`work`: s that a host takes for a command, `slots` at once; `more`: keys of a gateway's file."""
         self.folder, self.plans, self.more = folder, plans, more
         self.registry_at, self.listed = f"127.0.0.1:{free_port()}", 0
@@ -138,7 +142,7 @@
         self.gateways = [self.gateway(n) for n in range(gateways)]
         self.session: Any = None
 
-    def part(self, name: str, module: str, *args: str, env: Mapping[str, str] = {}) -> Part:  # noqa: B006
+    def part(self, name: str, module: str, *args: str, env: Mapping[str, str] = NOTHING) -> Part:
         return Part(name, self.folder, module, *args, env=env)
 
     def stand_in(self, name: str, kind: str, *args: str) -> Part:
@@ -165,7 +169,7 @@
         servers = (await self.until(self.registry, f"http://{self.registry_at}/v1/endpoints",
                                     lambda told: len(told["servers"]) == len(self.hosts)))["servers"]
         for number, part in enumerate(self.gateways):
-            settings = BASE | {"services": CLASSES, "plans": self.plans, "index": number,
+            settings = BASE | {"services": CLASSES, "plans": list(self.plans), "index": number,
                                "group_size": len(self.gateways), "locality": ZONES[number % len(ZONES)]}
             tree: Json = config(servers, self.registry_at, self.counter.places["listen"], settings,
                                 part.name, part.places["listen"])
