--- a/calicomast/demo/fleet.py
+++ b/calicomast/demo/fleet.py
@@ -7,6 +7,7 @@
 import ctypes
 import json
 import os
+import random
 import signal
 import socket
 import sys
@@ -24,6 +25,7 @@
 ENDS_WITHIN = 5.0  # s after SIGTERM at which a process is killed
 PR_SET_PDEATHSIG = 1
 ZONES = ("a", "b")
+PORTS = range(15000, 32000)
 NOTHING: Mapping[str, str] = MappingProxyType({})
 EDGE: Mapping[str, Any] = MappingProxyType({"edge": {}})
 
@@ -55,9 +57,13 @@
 
 
 def free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """Of those below the range that connections out take theirs from: one of these could have it a moment
+    later, before the process that it is meant for."""
+    for port in random.sample(PORTS, 100):
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind(("127.0.0.1", port))
+            return port
+    raise StartFailed("no port is free")
 
 
 class Part:
