--- a/calicomast/adapter.py
+++ b/calicomast/adapter.py
@@ -15,8 +15,17 @@
 from calicomast.settings import NS, flag, read_report, read_settings, seconds
 
 STATE = {"U": "up", "L": "leaving", "D": "down"}
-RESULT = {"GOOD": "ok", "BAD": "error", "FULL": "full", "LATE": "timeout", "NOCONN": "connect_failed",
-          "RST": "reset", "CXL": "cancelled", "NOP": "moot"}
+RESULT = {
+    "GOOD": "ok",
+    "BAD": "error",
+    "FULL": "full",
+    "LATE": "timeout",
+    "NOCONN": "connect_failed",
+    "RST": "reset",
+    "CXL": "cancelled",
+    "NOP": "moot",
+}
+
 
 class WireError(Exception):
     """A line that does not follow the wire; `inst` is the instance it named, if any."""
@@ -44,23 +53,45 @@
 
 
 def _host(f: dict[str, str]) -> api.Host:
-    return api.Host(id=f["host"], zone=f.get("zone", ""), cell=int(f.get("unit_group", 0)),
-                    weight=float(f.get("heft", 1)), kind=f.get("flavor", ""), state=STATE[f["availability"]],
-                    started=seconds(f.get("ready_at", "0")))
+    return api.Host(
+        id=f["host"],
+        zone=f.get("zone", ""),
+        cell=int(f.get("unit_group", 0)),
+        weight=float(f.get("heft", 1)),
+        kind=f.get("flavor", ""),
+        state=STATE[f["availability"]],
+        started=seconds(f.get("ready_at", "0")),
+    )
 
 
 def _work_item(f: dict[str, str]) -> api.Request:
     marks = int(f.get("marks", 0))
-    return api.Request(id=f["txn"], left=seconds(f["patience_left"]), customer=f["customer"], plan=f["tier"],
-                       cls=f["type"], units=float(f["cost_units"]), first=int(float(f.get("first", 0))),
-                       spread=int(float(f["n_entries"])), repeat=bool(marks & 2), write=bool(marks & 4))
+    return api.Request(
+        id=f["txn"],
+        left=seconds(f["patience_left"]),
+        customer=f["customer"],
+        plan=f["tier"],
+        cls=f["type"],
+        units=float(f["cost_units"]),
+        first=int(float(f.get("first", 0))),
+        spread=int(float(f["n_entries"])),
+        repeat=bool(marks & 2),
+        write=bool(marks & 4),
+    )
 
 
 def _outcome(f: dict[str, str]) -> api.Outcome:
-    return api.Outcome(id=f["txn"], attempt=int(f["attempt"]), host=f["host"], result=RESULT[f["reason"]],
-                       elapsed=seconds(f.get("time_taken", "0")), final=flag(f, "terminal"),
-                       used=int(float(f.get("fleet_use", 0))), actual=float(f.get("actual", 0)),
-                       report=_stats(f))
+    return api.Outcome(
+        id=f["txn"],
+        attempt=int(f["attempt"]),
+        host=f["host"],
+        result=RESULT[f["reason"]],
+        elapsed=seconds(f.get("time_taken", "0")),
+        final=flag(f, "terminal"),
+        used=int(float(f.get("fleet_use", 0))),
+        actual=float(f.get("actual", 0)),
+        report=_stats(f),
+    )
 
 
 def _memo(f: dict[str, str]) -> api.Message:
@@ -70,15 +101,22 @@
 READERS = {
     "WORK_ITEM": _work_item,
     "REPORT_BACK": _outcome,
-    "ADDED": lambda f: api.Counted(name=int(f["entry_name"]), result=RESULT[f["reason"]],
-                                   total=float(f.get("now_at", 0)),
-                                   elapsed=seconds(f.get("time_taken", "0"))),
-    "PING_RESULT": lambda f: api.Probed(host=f["host"], result=RESULT[f["reason"]],
-                                        elapsed=seconds(f.get("time_taken", "0")),
-                                        report=_stats(f)),
+    "ADDED": lambda f: api.Counted(
+        name=int(f["entry_name"]),
+        result=RESULT[f["reason"]],
+        total=float(f.get("now_at", 0)),
+        elapsed=seconds(f.get("time_taken", "0")),
+    ),
+    "PING_RESULT": lambda f: api.Probed(
+        host=f["host"],
+        result=RESULT[f["reason"]],
+        elapsed=seconds(f.get("time_taken", "0")),
+        report=_stats(f),
+    ),
     "DUE": lambda f: api.Timer(label=int(f["label"])),
-    "BEGUN": lambda f: api.Began(id=f["txn"], attempt=int(f["attempt"]), host=f["host"],
-                                 elapsed=seconds(f.get("time_taken", "0"))),
+    "BEGUN": lambda f: api.Began(
+        id=f["txn"], attempt=int(f["attempt"]), host=f["host"], elapsed=seconds(f.get("time_taken", "0"))
+    ),
     "DROPPED": lambda f: api.Gone(id=f["txn"]),
     "MEMO": _memo,
 }
@@ -93,8 +131,9 @@
     api.Refuse: lambda i, a: f"DECLINE i={i} txn={a.id} hold_off={_ns(a.retry_after)}",
     api.Fail: lambda i, a: f"DROP_REQUEST i={i} txn={a.id}",
     api.Cancel: lambda i, a: f"REVOKE i={i} txn={a.id} attempt={a.attempt}",
-    api.Count: lambda i, a: f"CHARGE_COUNTER i={i} entry_name={a.name} by={a.amount:.7g} "
-                            f"forget_after={_ns(a.lifetime)}",
+    api.Count: lambda i, a: (
+        f"CHARGE_COUNTER i={i} entry_name={a.name} by={a.amount:.7g} forget_after={_ns(a.lifetime)}"
+    ),
     api.SetTimer: lambda i, a: f"AFTER i={i} sleep_for={_ns(a.delay)} label={a.label}",
     api.Probe: lambda i, a: f"TOUCH i={i} host={a.host}",
     api.Close: lambda i, a: f"RELEASE i={i} host={a.host}",
@@ -153,8 +192,11 @@
                 self.gateways.pop(inst, None)
                 return
             elif word == "TARGETS":
-                event = api.HostList(mode=f["mode"], version=int(f.get("index", 0)),
-                                     hosts=self._hosts(int(f.get("rows_in", 0))))
+                event = api.HostList(
+                    mode=f["mode"],
+                    version=int(f.get("index", 0)),
+                    hosts=self._hosts(int(f.get("rows_in", 0))),
+                )
             elif word in READERS:
                 event = READERS[word](f)
             else:
--- a/calicomast/base/listing.py
+++ b/calicomast/base/listing.py
@@ -69,8 +69,11 @@
 
 def with_hosts(listing: Listing, entries: Iterable[tuple[api.Host, Address | None]]) -> Listing:
     entries = list(entries)
-    return replace(listing, hosts=replace(listing.hosts, hosts=tuple(host for host, _ in entries)),
-                   addresses={host.id: address for host, address in entries if address is not None})
+    return replace(
+        listing,
+        hosts=replace(listing.hosts, hosts=tuple(host for host, _ in entries)),
+        addresses={host.id: address for host, address in entries if address is not None},
+    )
 
 
 def read_beside(told: dict[str, Any], mode: str | None = None) -> Listing:
@@ -103,16 +106,22 @@
         if self.count and (not read or mode == "delta"):
             raise ValueError(f"not a list of hosts: {self.last}")
         if self.count:
-            log.warning("list of hosts: %d of %d entries cannot be read: %s", self.count, read + self.count,
-                        self.last)
+            log.warning(
+                "list of hosts: %d of %d entries cannot be read: %s", self.count, read + self.count, self.last
+            )
 
 
 def read_entry(told: dict[str, Any]) -> tuple[api.Host, Address | None]:
     started, place = told.get("started_ms"), told.get("addr")
     host = api.Host(
-        id=read(told["id"], str), zone=read(told.get("zone", ""), str), cell=read_whole(told.get("cell", 0)),
-        weight=read_number(told.get("weight", 1.0)), kind=read(told.get("kind", ""), str),
-        state=STATE[told["state"]], started=0.0 if started is None else read_number(started) / 1000)
+        id=read(told["id"], str),
+        zone=read(told.get("zone", ""), str),
+        cell=read_whole(told.get("cell", 0)),
+        weight=read_number(told.get("weight", 1.0)),
+        kind=read(told.get("kind", ""), str),
+        state=STATE[told["state"]],
+        started=0.0 if started is None else read_number(started) / 1000,
+    )
     if not host.id:
         raise ValueError("an empty id")
     return host, None if place in (None, "") else read_address(place)
@@ -151,10 +160,10 @@
         """Whether there was more text to decode."""
         if self.at >= len(self.body):
             return False
-        piece = self.body[self.at:self.at + WINDOW]
+        piece = self.body[self.at : self.at + WINDOW]
         self.at += len(piece)
         decoded = self.decoder.decode(piece, final=self.at >= len(self.body))
-        self.text, self.place = self.text[self.place:] + decoded, 0
+        self.text, self.place = self.text[self.place :] + decoded, 0
         return True
 
     def gathers(self) -> bool:
@@ -181,7 +190,7 @@
         while True:
             try:
                 value, end = self.scan(self.text, self.place)
-                if self.text[end:end + 1] in ENDS or not self.gathers():  # else a number may go on
+                if self.text[end : end + 1] in ENDS or not self.gathers():  # else a number may go on
                     self.place = end
                     return value
             except json.JSONDecodeError:
--- a/calicomast/base/views.py
+++ b/calicomast/base/views.py
@@ -22,7 +22,7 @@
 from typing import Any
 from urllib.parse import quote, unquote, urlencode
 
-RING = 2 ** 63
+RING = 2**63
 GOLDEN = 5700357409661599243  # the golden section of a ring: steps of it fill a ring evenly, however many
 LEAST = 6  # hosts of each kind, as far as there are so many
 SIZE_MOST = 65536
@@ -53,8 +53,9 @@
         if type(self.index) is not int or not 0 <= self.index < RING:
             raise ValueError(f"the index of a view is {str(self.index)[:40]!r}, not a whole number from 0 on")
         if type(self.size) is not int or not 1 <= self.size <= SIZE_MOST:
-            raise ValueError(f"the size of a view is {str(self.size)[:40]!r}, "
-                             f"not a whole number from 1 to {SIZE_MOST}")
+            raise ValueError(
+                f"the size of a view is {str(self.size)[:40]!r}, not a whole number from 1 to {SIZE_MOST}"
+            )
         object.__setattr__(self, "kinds", tuple(sorted(set(self.kinds))))
         if len(self.kinds) > KINDS_MOST:
             raise ValueError(f"a view names {len(self.kinds)} kinds, more than {KINDS_MOST}")
@@ -324,7 +325,7 @@
     part by length: what comes before all that was not looked at is certain."""
     if len(runs) == 1:
         spots, at, end = runs[0]
-        return spots[at:min(end, at + most)]
+        return spots[at : min(end, at + most)]
     total = sum(end - at for _, at, end in runs)
     spare = 2.5  # deviations
     while True:
--- a/calicomast/budgets/client.py
+++ b/calicomast/budgets/client.py
@@ -42,8 +42,16 @@
 
 
 class Client:
-    def __init__(self, terms: Terms, grantor: str, name: str, zone: str, index: int, folder: Path,
-                 clock: Callable[[], float] = boot_clock) -> None:
+    def __init__(
+        self,
+        terms: Terms,
+        grantor: str,
+        name: str,
+        zone: str,
+        index: int,
+        folder: Path,
+        clock: Callable[[], float] = boot_clock,
+    ) -> None:
         """`grantor` is HOST:PORT; `folder`: where processes of this gateway find each other."""
         self.url, self.clock, self.share = f"http://{grantor}/v1/exchange", clock, Share(folder, name)
         self.holder = Holder(terms, name, zone, index, int(time.time() * 1000), self.share.take(), clock())
@@ -68,15 +76,19 @@
             began = loop.time()
             failed = await self.exchange()
             if failed and not self.failures:
-                log.warning("budgets: %s; the grants in hand last %.1f s", failed,
-                            max(0.0, self.holder.ends - self.clock()))
+                log.warning(
+                    "budgets: %s; the grants in hand last %.1f s",
+                    failed,
+                    max(0.0, self.holder.ends - self.clock()),
+                )
             elif not failed and self.failures:
                 log.info("budgets: answers again after %d failures", self.failures)
             self.failures = self.failures + 1 if failed else 0
             wait = every * (PROMPT if self.holder.prompt else random.uniform(1 - JITTER, 1 + JITTER))
             await asyncio.sleep(max(0.0, began + wait - loop.time()))
-        log.warning("budgets: a newer process of %s is there; this one is granted nothing more",
-                    self.holder.name)
+        log.warning(
+            "budgets: a newer process of %s is there; this one is granted nothing more", self.holder.name
+        )
 
     async def exchange(self) -> str:
         """Why it failed; "" where it did not."""
--- a/calicomast/budgets/division.py
+++ b/calicomast/budgets/division.py
@@ -28,8 +28,10 @@
     if least >= room:
         return [claim.least * room / least for claim in claims], 0.0
     # Raise one level for all: a claim's part grows with it from its least part up to what is wanted.
-    bends = sorted([(claim.least / claim.weight, claim.weight) for claim in claims]
-                   + [(claim.wanted / claim.weight, -claim.weight) for claim in claims])
+    bends = sorted(
+        [(claim.least / claim.weight, claim.weight) for claim in claims]
+        + [(claim.wanted / claim.weight, -claim.weight) for claim in claims]
+    )
     level, slope, total = 0.0, 0.0, least
     for at, change in bends:
         if slope > 0 and total + slope * (at - level) >= room:
--- a/calicomast/budgets/grantor.py
+++ b/calicomast/budgets/grantor.py
@@ -102,8 +102,16 @@
     `longest` s where the log says that they may last so long. `logs`: whether what is told must be stored
     first."""
 
-    def __init__(self, terms: Terms, term: int, now: float, stored: Mapping[Key, Held] | None, logs: bool,
-                 weights: Mapping[str, float] | None = None, longest: float = 0.0) -> None:
+    def __init__(
+        self,
+        terms: Terms,
+        term: int,
+        now: float,
+        stored: Mapping[Key, Held] | None,
+        logs: bool,
+        weights: Mapping[str, float] | None = None,
+        longest: float = 0.0,
+    ) -> None:
         self.terms, self.term, self.logs, self.disk = terms, term, logs, True
         self.weights = weights or {}  # by the name of a gateway, or else of its zone
         self.lives: dict[tuple[str, int], Life] = {}
@@ -254,13 +262,18 @@
 
     def divide(self, now: float, pot: Pot) -> None:
         name, budget = pot.budget.name, pot.budget
-        there = [life for life in self.lives.values()
-                 if name in life.holds and (now < life.until or life.heard == now)
-                 and self.newest[life.name] == life.number]
+        there = [
+            life
+            for life in self.lives.values()
+            if name in life.holds
+            and (now < life.until or life.heard == now)
+            and self.newest[life.name] == life.number
+        ]
         there.sort(key=lambda life: life.name)
         holds = [life.holds[name] for life in there]
-        claims = [Claim(hold.need, budget.least, self.weight(life))
-                  for life, hold in zip(there, holds, strict=True)]
+        claims = [
+            Claim(hold.need, budget.least, self.weight(life)) for life, hold in zip(there, holds, strict=True)
+        ]
         parts, pot.level = divide(pot.room, claims)
         spare = pot.room * (1 - self.terms.pool) - sum(parts)
         if spare > 0 and parts:
@@ -312,8 +325,11 @@
         life = self.lives[told.name, told.life]
         if not self.logs or life.answer is None:
             return {}
-        return {(life.name, life.number, name): life.holds[name].cover
-                for name, part in life.answer.parts.items() if part > life.holds[name].stored}
+        return {
+            (life.name, life.number, name): life.holds[name].cover
+            for name, part in life.answer.parts.items()
+            if part > life.holds[name].stored
+        }
 
     def rows(self, now: float, all_of_it: bool) -> dict[Key, Held]:
         """What the log does not have as it is; or all that may be in use. A cover of 0 is none."""
@@ -328,8 +344,10 @@
 
     def longest(self, now: float) -> float:
         """Seconds after which nothing is in use of all that was granted by now, whatever is known of it."""
-        linger = max((self.linger(name, hold) for life in self.lives.values()
-                      for name, hold in life.holds.items()), default=0.0)
+        linger = max(
+            (self.linger(name, hold) for life in self.lives.values() for name, hold in life.holds.items()),
+            default=0.0,
+        )
         linger = max(linger, *(budget.linger for budget in self.terms.budgets))
         until = max((life.until for life in self.lives.values()), default=now)
         return max(max(self.terms.hold(), until - now) + linger, self.learned_at - now)
@@ -405,16 +423,27 @@
         """What operators see. `over`: how much more is granted than a smaller whole bears, until grants
         end."""
         current = [life for life in self.lives.values() if now < life.until]
-        return {"term": self.term, "disk": self.disk or not self.logs,
-                "learning": round(max(0.0, self.learned_at - now), 1),
-                "gateways": len({life.name for life in current}),
-                "surplus": sorted({life.name for life in current if life.index >= self.terms.most}),
-                "clashes": clashes(current), "counts": dict(self.counts),
-                "budgets": {name: {
-                    "whole": pot.budget.whole, "reserve": pot.budget.reserve, "divided": pot.room,
-                    "granted": round(pot.covered, 6), "over": round(max(0.0, pot.covered - pot.room), 6),
+        return {
+            "term": self.term,
+            "disk": self.disk or not self.logs,
+            "learning": round(max(0.0, self.learned_at - now), 1),
+            "gateways": len({life.name for life in current}),
+            "surplus": sorted({life.name for life in current if life.index >= self.terms.most}),
+            "clashes": clashes(current),
+            "counts": dict(self.counts),
+            "budgets": {
+                name: {
+                    "whole": pot.budget.whole,
+                    "reserve": pot.budget.reserve,
+                    "divided": pot.room,
+                    "granted": round(pot.covered, 6),
+                    "over": round(max(0.0, pot.covered - pot.room), 6),
                     "needed": round(sum(life.holds[name].need for life in current if name in life.holds), 6),
-                    "short": pot.short} for name, pot in self.pots.items()}}
+                    "short": pot.short,
+                }
+                for name, pot in self.pots.items()
+            },
+        }
 
 
 def clashes(lives: list[Life]) -> list[list[str]]:
--- a/calicomast/budgets/holder.py
+++ b/calicomast/budgets/holder.py
@@ -40,12 +40,15 @@
     """One life of a gateway. `reserves`: whether this process alone may use the share of the reserve that
     goes with `index`; two lives of one gateway must never both do so."""
 
-    def __init__(self, terms: Terms, name: str, zone: str, index: int, life: int, reserves: bool,
-                 now: float) -> None:
+    def __init__(
+        self, terms: Terms, name: str, zone: str, index: int, life: int, reserves: bool, now: float
+    ) -> None:
         self.terms, self.name, self.zone, self.index, self.life = terms, name, zone, index, life
         self.reserves = reserves and index < terms.most  # one more gateway than stated has no share
-        self.parts = {budget.name: Part(budget, terms.share(budget) if self.reserves else 0.0, at=now)
-                      for budget in terms.budgets}
+        self.parts = {
+            budget.name: Part(budget, terms.share(budget) if self.reserves else 0.0, at=now)
+            for budget in terms.budgets
+        }
         self.ends = -math.inf  # of all that was granted
         self.seq, self.sent_at, self.awaits = 0, now, False
         self.reported_at = now
@@ -174,8 +177,20 @@
         part.tokens, part.at = min(self.saved(now, part), part.tokens + fresh), now
 
     def status(self, now: float) -> dict[str, object]:
-        return {"life": self.life, "term": self.term, "ends_in": round(max(0.0, self.ends - now), 3),
-                "reserve": self.reserves, "superseded": self.superseded, "counts": dict(self.counts),
-                "budgets": {name: {"share": part.share, "granted": self.granted(now, part), "used": part.used,
-                                   "over": self.over(now, name) if part.budget.kind == LEVEL else 0}
-                            for name, part in self.parts.items()}}
+        return {
+            "life": self.life,
+            "term": self.term,
+            "ends_in": round(max(0.0, self.ends - now), 3),
+            "reserve": self.reserves,
+            "superseded": self.superseded,
+            "counts": dict(self.counts),
+            "budgets": {
+                name: {
+                    "share": part.share,
+                    "granted": self.granted(now, part),
+                    "used": part.used,
+                    "over": self.over(now, name) if part.budget.kind == LEVEL else 0,
+                }
+                for name, part in self.parts.items()
+            },
+        }
--- a/calicomast/budgets/service.py
+++ b/calicomast/budgets/service.py
@@ -57,13 +57,22 @@
                 log.error("the log takes nothing: %s; no new or larger grants until it does", err)
         self.fixed = self.agreed(found.state)
         covers, term = found.covers(), max(int(time.time() * 1000), found.state.term + 1)
-        self.grantor = Grantor(self.config.terms, term, now, covers, self.store is not None,
-                               self.config.weights, found.state.longest)
+        self.grantor = Grantor(
+            self.config.terms,
+            term,
+            now,
+            covers,
+            self.store is not None,
+            self.config.weights,
+            found.state.longest,
+        )
         if not disk:
             self.grantor.unwritten()
         if covers is None:
-            log.info("nothing is known of earlier grants: new ones in %.1f s, when all of them have ended",
-                     self.grantor.learned_at - now)
+            log.info(
+                "nothing is known of earlier grants: new ones in %.1f s, when all of them have ended",
+                self.grantor.learned_at - now,
+            )
         loop = asyncio.get_running_loop()
         if self.store is not None:
             self.wake.set()  # how long all may last stands in the log from the first moment on
@@ -78,9 +87,11 @@
         told = fixed(self.config.terms)
         for what in sorted(before.fixed.keys() & told.keys()):
             if before.fixed[what] != told[what]:
-                raise ConfigError(f"{what} is {told[what]}, and was {before.fixed[what]} by the log "
-                                  f"{self.config.log}: gateways may still go by that; stop them all, then "
-                                  "move the log away")
+                raise ConfigError(
+                    f"{what} is {told[what]}, and was {before.fixed[what]} by the log "
+                    f"{self.config.log}: gateways may still go by that; stop them all, then "
+                    "move the log away"
+                )
         return {**before.fixed, **told}
 
     async def keep_ticking(self) -> None:
--- a/calicomast/budgets/store.py
+++ b/calicomast/budgets/store.py
@@ -92,8 +92,9 @@
                 os.replace(path, f"{path}.torn")
 
     def load(self, torn: bool = False) -> Log:
-        self.base = base = sqlite3.connect(self.path, timeout=0.2, isolation_level=None,
-                                           check_same_thread=False)
+        self.base = base = sqlite3.connect(
+            self.path, timeout=0.2, isolation_level=None, check_same_thread=False
+        )
         base.execute("PRAGMA page_size = 1024")
         base.execute("PRAGMA locking_mode = EXCLUSIVE")
         base.execute("PRAGMA journal_mode = DELETE")
@@ -105,8 +106,10 @@
             raise sqlite3.DatabaseError("quick_check")
         told = base.execute("SELECT told FROM state").fetchone()
         state = msgspec.json.decode(told[0], type=State) if told else State()
-        rows = {(str(name), int(life), str(budget)): Held(float(cover), float(hold), float(linger))
-                for name, life, budget, cover, hold, linger in base.execute("SELECT * FROM held")}
+        rows = {
+            (str(name), int(life), str(budget)): Held(float(cover), float(hold), float(linger))
+            for name, life, budget, cover, hold, linger in base.execute("SELECT * FROM held")
+        }
         base.execute("COMMIT")
         return Log(state, rows, torn)
 
@@ -120,10 +123,14 @@
             base.execute("BEGIN IMMEDIATE")
             if all_of_it:
                 base.execute("DELETE FROM held")
-            base.executemany("DELETE FROM held WHERE name = ? AND life = ? AND budget = ?",
-                             [key for key, held in rows.items() if not held.cover])
-            base.executemany("INSERT OR REPLACE INTO held VALUES (?, ?, ?, ?, ?, ?)",
-                             [(*key, *held) for key, held in rows.items() if held.cover])
+            base.executemany(
+                "DELETE FROM held WHERE name = ? AND life = ? AND budget = ?",
+                [key for key, held in rows.items() if not held.cover],
+            )
+            base.executemany(
+                "INSERT OR REPLACE INTO held VALUES (?, ?, ?, ?, ?, ?)",
+                [(*key, *held) for key, held in rows.items() if held.cover],
+            )
             base.execute("INSERT OR REPLACE INTO state VALUES (0, ?)", (msgspec.json.encode(state).decode(),))
             base.execute("COMMIT")
         except (sqlite3.Error, OSError) as err:
--- a/calicomast/budgets/terms.py
+++ b/calicomast/budgets/terms.py
@@ -19,7 +19,7 @@
 Name = Annotated[str, Meta(min_length=1, max_length=128)]
 Amount = Annotated[float, Meta(ge=0, lt=1e12)]
 Whole = Annotated[float, Meta(gt=0, lt=1e12)]
-Number = Annotated[int, Meta(ge=0, lt=2 ** 62)]
+Number = Annotated[int, Meta(ge=0, lt=2**62)]
 Weight = Annotated[float, Meta(ge=0.01, le=100)]
 
 
@@ -90,15 +90,19 @@
         if budget.reserve > budget.whole:
             raise TermsError(f"{where}.reserve is {budget.reserve:g}, over the whole of {budget.whole:g}")
         if budget.least * terms.most > terms.divided(budget) + 1e-9:
-            raise TermsError(f"{where}.least is {budget.least:g}: {terms.most} gateways have more than the "
-                             f"{terms.divided(budget):g} that are divided")
+            raise TermsError(
+                f"{where}.least is {budget.least:g}: {terms.most} gateways have more than the "
+                f"{terms.divided(budget):g} that are divided"
+            )
         if budget.kind == LEVEL and (budget.burst or budget.least != math.floor(budget.least)):
             raise TermsError(f"{where}: a level has no burst, and its least part is a whole number")
         if budget.kind == LEVEL and not budget.linger:
             raise TermsError(f"{where}.linger is missing: how long may a unit outlast its grant?")
         if budget.kind == RATE and (budget.linger or budget.burst < terms.most):
-            raise TermsError(f"{where}: a rate has no linger, and a burst of {terms.most} or more, one for "
-                             "each gateway: all may act at the same instant")
+            raise TermsError(
+                f"{where}: a rate has no linger, and a burst of {terms.most} or more, one for "
+                "each gateway: all may act at the same instant"
+            )
 
 
 # Messages
--- a/calicomast/cli.py
+++ b/calicomast/cli.py
@@ -17,8 +17,9 @@
 
     name = "host:port"
 
-    def convert(self, value: object, param: click.Parameter | None,
-                ctx: click.Context | None) -> tuple[str, int]:
+    def convert(
+        self, value: object, param: click.Parameter | None, ctx: click.Context | None
+    ) -> tuple[str, int]:
         host, _, port = str(value).rpartition(":")
         if not host or not port.isdecimal() or int(port) > 65535:
             self.fail(f"{value!r} is not HOST:PORT", param, ctx)
@@ -37,19 +38,46 @@
 @main.command()
 @click.option("--gateways", type=click.IntRange(1, 20), default=2, show_default=True)
 @click.option("--hosts", type=click.IntRange(1, 50), default=4, show_default=True)
-@click.option("--seconds", type=POSITIVE, default=0.0,
-              help="How long traffic lasts.  [default: until Ctrl-C]")
-@click.option("--kill-gateway-at", type=POSITIVE, default=0.0, metavar="SECONDS",
-              help="Kill the last gateway then; it is started again later.")
-@click.option("--stop-counter-at", type=POSITIVE, default=0.0, metavar="SECONDS",
-              help="The counter answers nothing from then on for a while.")
-@click.option("--for", "lasting", type=POSITIVE, default=4.0, show_default=True, metavar="SECONDS",
-              help="How long a trouble lasts.")
-@click.option("--traffic", "scale", type=click.FloatRange(0.01, 100), default=1.0, show_default=True,
-              help="Times the usual traffic.")
+@click.option(
+    "--seconds", type=POSITIVE, default=0.0, help="How long traffic lasts.  [default: until Ctrl-C]"
+)
+@click.option(
+    "--kill-gateway-at",
+    type=POSITIVE,
+    default=0.0,
+    metavar="SECONDS",
+    help="Kill the last gateway then; it is started again later.",
+)
+@click.option(
+    "--stop-counter-at",
+    type=POSITIVE,
+    default=0.0,
+    metavar="SECONDS",
+    help="The counter answers nothing from then on for a while.",
+)
+@click.option(
+    "--for",
+    "lasting",
+    type=POSITIVE,
+    default=4.0,
+    show_default=True,
+    metavar="SECONDS",
+    help="How long a trouble lasts.",
+)
+@click.option(
+    "--traffic",
+    "scale",
+    type=click.FloatRange(0.01, 100),
+    default=1.0,
+    show_default=True,
+    help="Times the usual traffic.",
+)
 @click.option("--seed", type=int, default=1, show_default=True, help="Of arrivals and classes.")
-@click.option("--folder", type=click.Path(file_okay=False, path_type=Path),
-              help="For configurations and logs, which then stay.  [default: none stay]")
+@click.option(
+    "--folder",
+    type=click.Path(file_okay=False, path_type=Path),
+    help="For configurations and logs, which then stay.  [default: none stay]",
+)
 @click.option("--json", "as_json", is_flag=True, help="Print one object at the end and nothing else.")
 def demo(as_json: bool, **told: Any) -> None:
     """A fleet on this machine with traffic of its own, some of it beyond quota.
@@ -71,8 +99,12 @@
     shares of commands from 0 to 1."""
 
 
-def started(make: Callable[[], Any], listen: tuple[str, int], control: tuple[str, int],
-            beside: Callable[[], Any] | None = None) -> None:
+def started(
+    make: Callable[[], Any],
+    listen: tuple[str, int],
+    control: tuple[str, int],
+    beside: Callable[[], Any] | None = None,
+) -> None:
     import uvloop
 
     from calicomast.standins.service import run
@@ -91,15 +123,25 @@
 
 @standin.command()
 @addresses
-@click.option("--slots", type=click.IntRange(1), default=4, show_default=True,
-              help="Commands worked on at once.")
+@click.option(
+    "--slots", type=click.IntRange(1), default=4, show_default=True, help="Commands worked on at once."
+)
 @click.option("--work", type=POSITIVE, default=0.01, show_default=True, help="Seconds that a command takes.")
 @click.option("--room", type=click.IntRange(0), default=64, show_default=True, help="Commands that may wait.")
 @click.option("--register", type=PLACE, help="The list service to register with.")
 @click.option("--name", default="host", show_default=True)
 @click.option("--zone", default="a", show_default=True)
-def host(listen: tuple[str, int], control: tuple[str, int], seed: int, slots: int, work: float, room: int,
-         register: tuple[str, int] | None, name: str, zone: str) -> None:
+def host(
+    listen: tuple[str, int],
+    control: tuple[str, int],
+    seed: int,
+    slots: int,
+    work: float,
+    room: int,
+    register: tuple[str, int] | None,
+    name: str,
+    zone: str,
+) -> None:
     """A host: RESP2 commands in, values out."""
     from calicomast.standins.host import WorkingHost, stay_registered
 
@@ -110,8 +152,12 @@
         return made[0]
 
     place = f"{register[0]}:{register[1]}" if register else ""
-    started(make, listen, control,
-            (lambda: stay_registered(place, name, zone, lambda: made[0].port)) if register else None)
+    started(
+        make,
+        listen,
+        control,
+        (lambda: stay_registered(place, name, zone, lambda: made[0].port)) if register else None,
+    )
 
 
 @standin.command()
--- a/calicomast/demo/play.py
+++ b/calicomast/demo/play.py
@@ -109,11 +109,23 @@
         assert self.traffic is not None
         told = self.traffic.summary()
         most = max(plan["most_beyond_in_bursts"] for plan in told["plans"].values())
-        return {**told, "quota_kept": most <= BEYOND_MOST, "quota_bound_in_bursts": BEYOND_MOST,
-                "gateways": {part.name: {"alive": part.alive, "ready": door.ready,
-                                         "control": part.places["control"], **door.outcomes}
-                             for part, door in zip(self.fleet.gateways, self.traffic.doors, strict=True)},
-                "hosts": self.hosts, "events": self.events, "died": sorted(self.dead)}
+        return {
+            **told,
+            "quota_kept": most <= BEYOND_MOST,
+            "quota_bound_in_bursts": BEYOND_MOST,
+            "gateways": {
+                part.name: {
+                    "alive": part.alive,
+                    "ready": door.ready,
+                    "control": part.places["control"],
+                    **door.outcomes,
+                }
+                for part, door in zip(self.fleet.gateways, self.traffic.doors, strict=True)
+            },
+            "hosts": self.hosts,
+            "events": self.events,
+            "died": sorted(self.dead),
+        }
 
 
 def table(told: dict[str, Any]) -> Any:
@@ -130,24 +142,51 @@
         return made
 
     total = " ".join(f"{name} {told[name]}" for name in OUTCOMES)
-    classes = [[name, *(c[o] for o in OUTCOMES), c["median_ms"], c["p99_ms"]]
-               for name, c in told["classes"].items()]
-    plans = [[name, p["customers"], f"{p['asked_of_quota']:.0%}", f"{p['used_of_quota']:.0%}",
-              p["most_beyond_in_bursts"]] for name, p in told["plans"].items()]
-    gateways = [[name, g["control"], "ready" if g["ready"] else "away", *(g.get(o, 0) for o in OUTCOMES),
-                 g.get("reset", 0)] for name, g in told["gateways"].items()]
-    hosts = [[name, h["inside"] if h else "away", *((h["commands"].get(o, 0) if h else None)
-                                                   for o in ("served", "repeated", "busy", "error"))]
-             for name, h in told["hosts"].items()]
+    classes = [
+        [name, *(c[o] for o in OUTCOMES), c["median_ms"], c["p99_ms"]] for name, c in told["classes"].items()
+    ]
+    plans = [
+        [
+            name,
+            p["customers"],
+            f"{p['asked_of_quota']:.0%}",
+            f"{p['used_of_quota']:.0%}",
+            p["most_beyond_in_bursts"],
+        ]
+        for name, p in told["plans"].items()
+    ]
+    gateways = [
+        [
+            name,
+            g["control"],
+            "ready" if g["ready"] else "away",
+            *(g.get(o, 0) for o in OUTCOMES),
+            g.get("reset", 0),
+        ]
+        for name, g in told["gateways"].items()
+    ]
+    hosts = [
+        [
+            name,
+            h["inside"] if h else "away",
+            *((h["commands"].get(o, 0) if h else None) for o in ("served", "repeated", "busy", "error")),
+        ]
+        for name, h in told["hosts"].items()
+    ]
     events = "\n".join(f"{event['at']:6.1f} s  {event['what']}" for event in told["events"][-6:])
     return Group(
         f"{told['seconds']:.1f} s  {total}  tried again {told['tried_again']}  quota kept: "
         f"{'yes' if told['quota_kept'] else 'NO'}",
         rows("by class", ["class", *OUTCOMES, "median ms", "p99 ms"], classes),
-        rows("by plan, over all gateways", ["plan", "customers", "asked of quota", "used of quota",
-                                            "most beyond (bursts)"], plans),
+        rows(
+            "by plan, over all gateways",
+            ["plan", "customers", "asked of quota", "used of quota", "most beyond (bursts)"],
+            plans,
+        ),
         rows("gateways", ["gateway", "operators call", "state", *OUTCOMES, "broke off"], gateways),
-        rows("hosts", ["host", "inside", "served", "repeated", "busy", "error"], hosts), events)
+        rows("hosts", ["host", "inside", "served", "repeated", "busy", "error"], hosts),
+        events,
+    )
 
 
 async def watched(demo: Demo, show: Callable[[dict[str, Any]], None] | None) -> dict[str, Any]:
@@ -173,7 +212,8 @@
     try:
         with contextlib.ExitStack() as stack:
             folder = plan.folder or Path(
-                stack.enter_context(tempfile.TemporaryDirectory(prefix="cinderrouter-")))
+                stack.enter_context(tempfile.TemporaryDirectory(prefix="cinderrouter-"))
+            )
             folder.mkdir(parents=True, exist_ok=True)
             demo = Demo(plan, folder)
             if not as_json and out.is_terminal:
--- a/calicomast/demo/traffic.py
+++ b/calicomast/demo/traffic.py
@@ -179,16 +179,26 @@
         able = [door for door in own if door.ready] or own
         return able[(next(self.numbers) + attempt) % len(able)]
 
-    async def attempt(self, door: Door, customer: Customer, name: str, key: bytes, deadline: float,
-                      attempt: int) -> str:
+    async def attempt(
+        self, door: Door, customer: Customer, name: str, key: bytes, deadline: float, attempt: int
+    ) -> str:
         """How it ended: served, refused, failed, lost (no answer in time) or reset (the connection broke)."""
         left = deadline - time.monotonic()
         keyed = self.classes[name]["effect"] == "token"
         terms = b"c=%s,t=%s,d=%d,%sunits=1,spread=%d,first=%d" % (
-            name.encode(), customer.plan["name"].encode(), max(1, left * 1000),
-            b"k=%s," % key if keyed else b"", customer.spread, customer.first)
-        parts = [b"API.WRITE" if keyed else b"API.READ", b"%016x" % customer.id, b"%s.%d" % (key, attempt),
-                 terms]
+            name.encode(),
+            customer.plan["name"].encode(),
+            max(1, left * 1000),
+            b"k=%s," % key if keyed else b"",
+            customer.spread,
+            customer.first,
+        )
+        parts = [
+            b"API.WRITE" if keyed else b"API.READ",
+            b"%016x" % customer.id,
+            b"%s.%d" % (key, attempt),
+            terms,
+        ]
         line, sent = None, False
         try:
             async with asyncio.timeout(left):
@@ -220,13 +230,22 @@
             own = [c for c in self.customers if c.plan is plan]
             quota = sum(plan["most_at_once"] + plan["rate"] * seconds for _ in own)
             plans[plan["name"]] = {
-                "customers": len(own), "asked_of_quota": round(sum(c.asks for c in own) * seconds / quota, 3),
+                "customers": len(own),
+                "asked_of_quota": round(sum(c.asks for c in own) * seconds / quota, 3),
                 "used_of_quota": round(sum(c.used for c in own) / quota, 3),
-                "most_beyond_in_bursts": round(max(c.beyond(seconds) for c in own) / plan["most_at_once"], 3)}
+                "most_beyond_in_bursts": round(max(c.beyond(seconds) for c in own) / plan["most_at_once"], 3),
+            }
         return {
-            "seconds": round(seconds, 1), **{name: total[name] for name in OUTCOMES},
+            "seconds": round(seconds, 1),
+            **{name: total[name] for name in OUTCOMES},
             "tried_again": total["tried again"],
-            "classes": {name: {**{o: tally.outcomes[o] for o in OUTCOMES},
-                               "median_ms": tally.percentile(0.5), "p99_ms": tally.percentile(0.99)}
-                        for name, tally in self.tallies.items()},
-            "plans": plans}
+            "classes": {
+                name: {
+                    **{o: tally.outcomes[o] for o in OUTCOMES},
+                    "median_ms": tally.percentile(0.5),
+                    "p99_ms": tally.percentile(0.99),
+                }
+                for name, tally in self.tallies.items()
+            },
+            "plans": plans,
+        }
--- a/calicomast/interface.py
+++ b/calicomast/interface.py
@@ -55,8 +55,17 @@
     ceiling_slack: float
 
     def __post_init__(self) -> None:
-        low = min(self.rate, self.burst, self.open_limit, self.price, self.over_worth, self.over_cost,
-                  self.ceiling_rate, self.ceiling_burst, self.ceiling_slack)
+        low = min(
+            self.rate,
+            self.burst,
+            self.open_limit,
+            self.price,
+            self.over_worth,
+            self.over_cost,
+            self.ceiling_rate,
+            self.ceiling_burst,
+            self.ceiling_slack,
+        )
         _need(low >= 0, f"plan {self.name}: negative figure")
         _need(self.rate == 0 or self.burst > 0, f"plan {self.name}: a rate needs a burst")
         _need(self.ceiling_rate == 0 or self.ceiling_burst > 0, f"plan {self.name}: a ceiling needs a burst")
@@ -245,8 +254,9 @@
     settings: Settings
 
 
-Event = (HostList | Request | Outcome | Counted | Probed | Timer | Began | Gone | Message | Ban | Drain
-         | Retune)
+Event = (
+    HostList | Request | Outcome | Counted | Probed | Timer | Began | Gone | Message | Ban | Drain | Retune
+)
 
 
 @dataclass(frozen=True, slots=True)
--- a/calicomast/keeper/fleet.py
+++ b/calicomast/keeper/fleet.py
@@ -35,12 +35,21 @@
 CLASSES = [  # times in seconds: wanted within, deadline
     {"name": "reading", "slo": 6 * S // 5, "deadline": 3 * S, "effect": "pure", "gain": 1.0},
     {"name": "statement", "slo": 2 * S, "deadline": 4 * S, "effect": "pure", "gain": 2.0},
-    {"name": "settlement", "slo": 2 * S, "deadline": 5 * S, "effect": "token", "gain": 5.0,
-     "dedup_scope": "all", "memory_span": 15 * S}]
+    {
+        "name": "settlement",
+        "slo": 2 * S,
+        "deadline": 5 * S,
+        "effect": "token",
+        "gain": 5.0,
+        "dedup_scope": "all",
+        "memory_span": 15 * S,
+    },
+]
 PLANS = [
     {"name": "village", "rate": 2.0, "most_at_once": 8.0, "value_factor": 0.9, "over_cost": 0.5},
     {"name": "cooperative", "rate": 5.0, "most_at_once": 20.0, "value_factor": 1.3, "over_cost": 1.2},
-    {"name": "utility", "rate": 20.0, "most_at_once": 60.0, "value_factor": 1.6, "over_cost": 0.8}]
+    {"name": "utility", "rate": 20.0, "most_at_once": 60.0, "value_factor": 1.6, "over_cost": 0.8},
+]
 
 
 class StartFailed(Exception):
@@ -79,8 +88,15 @@
     """One process. Its log is FOLDER/NAME.log; a start again appends to it. `apart`: nothing but its own
     files is subject to what befalls its disk: its log goes through its keeper, and modes of files count."""
 
-    def __init__(self, name: str, folder: Path, module: str, *args: str,
-                 env: Mapping[str, str] = NOTHING, apart: bool = False) -> None:
+    def __init__(
+        self,
+        name: str,
+        folder: Path,
+        module: str,
+        *args: str,
+        env: Mapping[str, str] = NOTHING,
+        apart: bool = False,
+    ) -> None:
         self.name, self.folder, self.command, self.apart = name, folder, ("-B", "-m", module, *args), apart
         self.env = {**os.environ, **env}
         self.process: Process | None = None
@@ -91,9 +107,15 @@
         """`told`: its first line says where it listens; `piped`: who starts it reads what it prints."""
         with open(self.log, "ab") as log:
             self.process = await asyncio.create_subprocess_exec(
-                sys.executable, *self.command, env=self.env, stdin=DEVNULL,
-                stdout=PIPE if told or piped else log, stderr=PIPE if self.apart else log,
-                start_new_session=True, preexec_fn=die_with(os.getpid(), self.apart))
+                sys.executable,
+                *self.command,
+                env=self.env,
+                stdin=DEVNULL,
+                stdout=PIPE if told or piped else log,
+                stderr=PIPE if self.apart else log,
+                start_new_session=True,
+                preexec_fn=die_with(os.getpid(), self.apart),
+            )
         self.wanted = True
         if self.apart:
             self.copying = asyncio.create_task(self.copy(self.process.stderr))
@@ -152,19 +174,45 @@
 class Fleet:
     """A list service, a counter, hosts that register themselves, and gateways, all on 127.0.0.1."""
 
-    def __init__(self, folder: Path, gateways: int, hosts: int, work: float = 0.02, slots: int = 4,
-                 plans: Sequence[Json] = PLANS, more: Mapping[str, Any] = EDGE) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        gateways: int,
+        hosts: int,
+        work: float = 0.02,
+        slots: int = 4,
+        plans: Sequence[Json] = PLANS,
+        more: Mapping[str, Any] = EDGE,
+    ) -> None:
         """`work`: s that a host takes for a command, `slots` at once; `more`: keys of a gateway's file."""
         self.folder, self.plans, self.more = folder, plans, more
         self.registry_at, self.listed = f"127.0.0.1:{free_port()}", 0
         self.files = {"registry.json": {"listen": self.registry_at, "learn_ms": 0}}
-        self.registry = self.part("registry", "calicomast.registry",
-                                  env={"REGISTRY_CONFIG": str(folder / "registry.json")})
+        self.registry = self.part(
+            "registry", "calicomast.registry", env={"REGISTRY_CONFIG": str(folder / "registry.json")}
+        )
         self.counter = self.stand_in("counter", "counter")
-        self.hosts = [self.stand_in(
-            f"host-{n}", "host", "--name", f"host-{n}", "--zone", ZONES[n % len(ZONES)], "--work", str(work),
-            "--slots", str(slots), "--room", str(16 * slots), "--register", self.registry_at,
-            "--seed", str(n)) for n in range(hosts)]
+        self.hosts = [
+            self.stand_in(
+                f"host-{n}",
+                "host",
+                "--name",
+                f"host-{n}",
+                "--zone",
+                ZONES[n % len(ZONES)],
+                "--work",
+                str(work),
+                "--slots",
+                str(slots),
+                "--room",
+                str(16 * slots),
+                "--register",
+                self.registry_at,
+                "--seed",
+                str(n),
+            )
+            for n in range(hosts)
+        ]
         self.gateways = [self.gateway(n) for n in range(gateways)]
         self.session: Any = None
 
@@ -177,8 +225,11 @@
     def gateway(self, number: int) -> Part:
         name, folder = f"gateway-{number}", self.folder / f"gateway-{number}"
         folder.mkdir(exist_ok=True)
-        made = self.part(name, "calicomast.net", env={
-            "RELAY_CONFIG": str(self.folder / f"{name}.json"), "TMPDIR": str(folder)})
+        made = self.part(
+            name,
+            "calicomast.net",
+            env={"RELAY_CONFIG": str(self.folder / f"{name}.json"), "TMPDIR": str(folder)},
+        )
         made.places = {"listen": f"127.0.0.1:{free_port()}", "control": f"127.0.0.1:{free_port()}"}
         return made
 
@@ -197,20 +248,39 @@
         self.open_session()
         for name, tree in self.files.items():
             (self.folder / name).write_text(json.dumps(tree))
-        await asyncio.gather(self.registry.start(), self.counter.start(told=True),
-                             *(host.start(told=True) for host in self.hosts))
-        return (await self.until(self.registry, f"http://{self.registry_at}/v1/endpoints",
-                                 lambda told: len(told["servers"]) == len(self.hosts)))["servers"]
+        await asyncio.gather(
+            self.registry.start(),
+            self.counter.start(told=True),
+            *(host.start(told=True) for host in self.hosts),
+        )
+        return (
+            await self.until(
+                self.registry,
+                f"http://{self.registry_at}/v1/endpoints",
+                lambda told: len(told["servers"]) == len(self.hosts),
+            )
+        )["servers"]
 
     def open_session(self) -> None:
         self.session = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=1.0))
 
     def tree(self, number: int, part: Part, servers: list[Json]) -> Json:
         """The configuration of a gateway."""
-        settings = BASE | {"services": CLASSES, "plans": list(self.plans), "index": number,
-                           "group_size": len(self.gateways), "locality": ZONES[number % len(ZONES)]}
-        tree = config(servers, self.registry_at, self.counter.places["listen"], settings, part.name,
-                      part.places["listen"])
+        settings = BASE | {
+            "services": CLASSES,
+            "plans": list(self.plans),
+            "index": number,
+            "group_size": len(self.gateways),
+            "locality": ZONES[number % len(ZONES)],
+        }
+        tree = config(
+            servers,
+            self.registry_at,
+            self.counter.places["listen"],
+            settings,
+            part.name,
+            part.places["listen"],
+        )
         return tree | {"seed": f"{number + 1:x}", "control": part.places["control"]} | self.more
 
     async def begin_all(self, parts: Sequence[Part]) -> None:
--- a/calicomast/lab/budgets/__main__.py
+++ b/calicomast/lab/budgets/__main__.py
@@ -24,9 +24,17 @@
 
 GATEWAYS, MOST = 20, 24
 EVEN = 10.0  # units of the level for each of the gateways that are there, and a second of the rate
-TERMS = Terms(most=MOST, length=3.0, every=0.5, drift=0.03, pool=0.1, budgets=[
-    Budget("connections", LEVEL, EVEN * GATEWAYS, reserve=MOST, least=1, linger=WORK + IDLE),
-    Budget("connects", "rate", EVEN * GATEWAYS, reserve=MOST, least=0.5, burst=2 * EVEN * GATEWAYS)])
+TERMS = Terms(
+    most=MOST,
+    length=3.0,
+    every=0.5,
+    drift=0.03,
+    pool=0.1,
+    budgets=[
+        Budget("connections", LEVEL, EVEN * GATEWAYS, reserve=MOST, least=1, linger=WORK + IDLE),
+        Budget("connects", "rate", EVEN * GATEWAYS, reserve=MOST, least=0.5, burst=2 * EVEN * GATEWAYS),
+    ],
+)
 SETTLED = 10.0  # s from which on a run counts
 SAMPLE = 0.1  # s
 
@@ -54,8 +62,12 @@
 
 
 WANTS: dict[str, Callable[[World, int], float]] = {
-    "steady, four fifths": steady, "steady, half more than there is": crowded,
-    "skew, ten to one": skewed, "moving each 5 s": moving, "coming and going": skewed}
+    "steady, four fifths": steady,
+    "steady, half more than there is": crowded,
+    "skew, ten to one": skewed,
+    "moving each 5 s": moving,
+    "coming and going": skewed,
+}
 
 
 def worlds(kind: str, seed: int) -> World:
@@ -95,11 +107,13 @@
     wanted = sum(EVEN * WANTS[kind](world, index) for index in range(GATEWAYS))
     rate = (world.referees["connects"].spent - spent) / seconds
     assert not world.breaches()
-    return {"level held, of what one who sees all gives": held / ideal,
-            "level by an even division": even / ideal,
-            "level held, of the whole": held / steps / (EVEN * GATEWAYS),
-            "largest sum, of the whole": largest,
-            "rate spent, of what one who sees all gives": rate / min(EVEN * GATEWAYS, wanted)}
+    return {
+        "level held, of what one who sees all gives": held / ideal,
+        "level by an even division": even / ideal,
+        "level held, of the whole": held / steps / (EVEN * GATEWAYS),
+        "largest sum, of the whole": largest,
+        "rate spent, of what one who sees all gives": rate / min(EVEN * GATEWAYS, wanted),
+    }
 
 
 # Times
@@ -137,14 +151,22 @@
 
 async def cost(gateways: int, budgets: int, seconds: float) -> dict[str, float]:
     """CPU of the service, over sockets, with a log, at needs that change."""
-    terms = Terms(most=gateways, every=1.0, length=5.0, budgets=[
-        Budget(f"b{n}", LEVEL, 20 * gateways, reserve=gateways, least=1, linger=1.0) for n in range(budgets)])
+    terms = Terms(
+        most=gateways,
+        every=1.0,
+        length=5.0,
+        budgets=[
+            Budget(f"b{n}", LEVEL, 20 * gateways, reserve=gateways, least=1, linger=1.0)
+            for n in range(budgets)
+        ],
+    )
     with tempfile.TemporaryDirectory(prefix="budgets-") as text:
         folder, place = Path(text), f"127.0.0.1:{free_port()}"
         config = File(place, terms, str(folder / "x.db"))
         (folder / "budgets.json").write_bytes(msgspec.json.encode(config))
-        part = Part("grantor", folder, "calicomast.budgets",
-                    env={"BUDGETS_CONFIG": str(folder / "budgets.json")})
+        part = Part(
+            "grantor", folder, "calicomast.budgets", env={"BUDGETS_CONFIG": str(folder / "budgets.json")}
+        )
         await part.start()
         await asyncio.sleep(1.0)
         clients = [Client(terms, place, f"g{n}", "z", n, folder) for n in range(gateways)]
@@ -170,8 +192,12 @@
         for client in clients:
             await client.close()
         await part.stop()
-    return {"exchanges a second": exchanges / seconds, "part of a core": spent / seconds,
-            "ms an exchange": 1000 * spent / exchanges, "gateways that fail": failures}
+    return {
+        "exchanges a second": exchanges / seconds,
+        "part of a core": spent / seconds,
+        "ms an exchange": 1000 * spent / exchanges,
+        "gateways that fail": failures,
+    }
 
 
 # Plot
@@ -193,7 +219,8 @@
         (44, "g10 sleeps", lambda: setattr(world.gateways[10], "paused", True)),
         (52, "g10 wakes", lambda: world.resume(world.gateways[10])),
         (58, "grantor away", lambda: setattr(world, "grantor_paused", True)),
-        (66, "grantor back", world.resume_grantor)]
+        (66, "grantor back", world.resume_grantor),
+    ]
     times: list[float] = []
     parts: list[list[float]] = [[] for _ in range(GATEWAYS)]
     held: list[float] = []
@@ -244,8 +271,16 @@
             print(f"{act.__name__}: {spread_of([act(seed) for seed in range(told.seeds)])} s", flush=True)
     elif told.what == "cost":
         for gateways, budgets in ((100, 1), (100, 20), (200, 5), (200, 20), (400, 1), (400, 5), (400, 20)):
-            print(json.dumps({"gateways": gateways, "budgets": budgets, **uvloop.run(
-                cost(gateways, budgets, told.seconds))}), flush=True)
+            print(
+                json.dumps(
+                    {
+                        "gateways": gateways,
+                        "budgets": budgets,
+                        **uvloop.run(cost(gateways, budgets, told.seconds)),
+                    }
+                ),
+                flush=True,
+            )
     else:
         plot(told.file, 1)
 
--- a/calicomast/lab/budgets/holder.py
+++ b/calicomast/lab/budgets/holder.py
@@ -79,7 +79,7 @@
         for unit in [u for u in units if u.reader.at_eof() or u.writer.is_closing()]:  # the host closed it
             self.let_go(name, unit)
         free = [unit for unit in units if unit.works_until <= now]
-        for unit in free[:max(0, len(units) - wanted, holder.over(self.client.clock(), name))]:
+        for unit in free[: max(0, len(units) - wanted, holder.over(self.client.clock(), name))]:
             self.let_go(name, unit)
         for unit in units:
             unit.writer.write(b".")
@@ -135,8 +135,9 @@
     place = ("127.0.0.1", 0)
 
     async def serve() -> None:
-        client = Client(terms, told.grantor, told.name, "a", told.index, told.folder,
-                        lambda: boot_clock() * told.pace)
+        client = Client(
+            terms, told.grantor, told.name, "a", told.index, told.folder, lambda: boot_clock() * told.pace
+        )
         holder = LabHolder(terms, (host, int(port)), client, told.index)
         await run(holder, place, place, holder.use)
 
--- a/calicomast/lab/budgets/meter.py
+++ b/calicomast/lab/budgets/meter.py
@@ -33,8 +33,9 @@
         super().__init__()
         self.began = monotonic()
         self.levels = {b.name: LevelReferee(b.whole) for b in terms.budgets if b.kind == LEVEL}
-        self.rates = {b.name: RateReferee(b.whole, b.burst + b.whole * LATE)
-                      for b in terms.budgets if b.kind != LEVEL}
+        self.rates = {
+            b.name: RateReferee(b.whole, b.burst + b.whole * LATE) for b in terms.budgets if b.kind != LEVEL
+        }
         self.breaches = 0
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -69,11 +70,17 @@
 
     def status(self) -> dict[str, Any]:
         now = monotonic() - self.began
-        return {"breaches": self.breaches + sum(rate.breaches for rate in self.rates.values()),
-                "levels": {name: {"held": level.held, "largest": level.largest,
-                                  "mean": round(level.mean(now), 2)} for name, level in self.levels.items()},
-                "rates": {name: {"spent": rate.spent, "lowest": round(rate.lowest, 2)}
-                          for name, rate in self.rates.items()}}
+        return {
+            "breaches": self.breaches + sum(rate.breaches for rate in self.rates.values()),
+            "levels": {
+                name: {"held": level.held, "largest": level.largest, "mean": round(level.mean(now), 2)}
+                for name, level in self.levels.items()
+            },
+            "rates": {
+                name: {"spent": rate.spent, "lowest": round(rate.lowest, 2)}
+                for name, rate in self.rates.items()
+            },
+        }
 
 
 def main() -> None:
--- a/calicomast/lab/budgets/world.py
+++ b/calicomast/lab/budgets/world.py
@@ -24,9 +24,17 @@
 WORK = 0.3  # s that a request takes at most, in which its connection is not let go
 IDLE = 0.4  # s after which a host closes a connection without a sign of life
 
-TERMS = Terms(most=8, length=3.0, every=0.5, drift=0.03, pool=0.1, budgets=[
-    Budget("connections", "level", 40, reserve=8, least=1, linger=WORK + IDLE),
-    Budget("connects", "rate", 20, reserve=4, least=0.2, burst=24)])
+TERMS = Terms(
+    most=8,
+    length=3.0,
+    every=0.5,
+    drift=0.03,
+    pool=0.1,
+    budgets=[
+        Budget("connections", "level", 40, reserve=8, least=1, linger=WORK + IDLE),
+        Budget("connects", "rate", 20, reserve=4, least=0.2, burst=24),
+    ],
+)
 
 
 class Clock:
@@ -65,8 +73,9 @@
         self.clock = Clock(self.rng, world.drift)
         set_back = number > 1 and self.rng.random() < 0.25  # the wall clock of which lives are numbered
         life = number - 5 if set_back else number
-        self.holder = Holder(world.terms, self.name, "z", index, max(0, life), reserves,
-                             self.clock(world.now))
+        self.holder = Holder(
+            world.terms, self.name, "z", index, max(0, life), reserves, self.clock(world.now)
+        )
         self.units: dict[str, list[Unit]] = {b.name: [] for b in world.terms.budgets if b.kind == LEVEL}
         self.credit = dict.fromkeys(self.holder.parts, 0.0)  # of rates: units that are wanted by now
         self.alive, self.paused = True, False
@@ -128,7 +137,7 @@
             unit.seen = world.now
         free = [unit for unit in units if unit.works_until <= world.now]
         spare = max(len(units) - wanted, self.holder.over(now, name))
-        for unit in free[:max(0, spare)]:
+        for unit in free[: max(0, spare)]:
             units.remove(unit)
             self.holder.give(name)
             world.referees[name].change(world.now, -1)
@@ -161,15 +170,23 @@
     """`log`: whether the grantor has one. Messages are lost by `loss`; `drift`: of any clock against the true
     time, half of the terms' at most."""
 
-    def __init__(self, seed: int, terms: Terms = TERMS, gateways: int = 8, log: bool = True,
-                 loss: float = 0.0, drift: float = 0.01,
-                 wants: Callable[[Gateway], Mapping[str, float]] | None = None) -> None:
+    def __init__(
+        self,
+        seed: int,
+        terms: Terms = TERMS,
+        gateways: int = 8,
+        log: bool = True,
+        loss: float = 0.0,
+        drift: float = 0.01,
+        wants: Callable[[Gateway], Mapping[str, float]] | None = None,
+    ) -> None:
         self.seed, self.terms, self.log, self.loss, self.drift = seed, terms, log, loss, drift
         self.rng, self.now, self.order = random.Random(seed), 0.0, itertools.count()
         self.heap: list[tuple[float, int, Callable[[], None]]] = []
         self.referees: dict[str, Any] = {
             b.name: LevelReferee(b.whole) if b.kind == LEVEL else RateReferee(b.whole, b.burst)
-            for b in terms.budgets}
+            for b in terms.budgets
+        }
         self.disk: dict[Key, Held] = {}
         self.disk_whole, self.disk_longest = False, 0.0  # what the log says of all that was granted
         self.length = terms.length  # s of a grant, as the grantor has it in this life
@@ -326,8 +343,9 @@
         known = {key: held for key, held in self.disk.items() if held.cover} if self.disk_whole else None
         term = self.began if self.log and disk else self.rng.randint(0, 3)  # a clock set back
         terms = msgspec.structs.replace(self.terms, length=self.length)
-        self.grantor = Grantor(terms, term, self.grantor_clock(self.now), known, self.log,
-                               longest=self.disk_longest)
+        self.grantor = Grantor(
+            terms, term, self.grantor_clock(self.now), known, self.log, longest=self.disk_longest
+        )
         if self.log and not self.disk_full:
             self.write(self.grantor)
 
@@ -356,10 +374,33 @@
         """One fault or its end, drawn."""
         rng = self.rng
         gateway = rng.choice(self.gateways)
-        act = rng.choice((
-            "kill", "kill", "machine", "pause", "pause", "pause many", "resume", "resume", "cut to",
-            "cut from", "heal", "heal", "grantor", "grantor, no disk", "pause grantor", "resume grantor",
-            "full", "free", "free", "loss", "crash loop", "grantor twice", "other length"))
+        act = rng.choice(
+            (
+                "kill",
+                "kill",
+                "machine",
+                "pause",
+                "pause",
+                "pause many",
+                "resume",
+                "resume",
+                "cut to",
+                "cut from",
+                "heal",
+                "heal",
+                "grantor",
+                "grantor, no disk",
+                "pause grantor",
+                "resume grantor",
+                "full",
+                "free",
+                "free",
+                "loss",
+                "crash loop",
+                "grantor twice",
+                "other length",
+            )
+        )
         if act in ("kill", "machine") and gateway.alive:
             self.kill(gateway, act == "machine")
             if act == "kill":
--- a/calicomast/lab/crowd.py
+++ b/calicomast/lab/crowd.py
@@ -47,10 +47,14 @@
     churn: int = 0  # clients that connect, ask once whether the gateway serves, and go, again and again
 
 
-KINDS = (Kind("calm", 0), Kind("one pipeline", 1), Kind("four pipelines", 4),
-         Kind("four, slow hosts", 4, work=0.02),
-         Kind("40 of one source beside one", 40, depth=50, other=True),
-         Kind("connect and close", 0, churn=16))
+KINDS = (
+    Kind("calm", 0),
+    Kind("one pipeline", 1),
+    Kind("four pipelines", 4),
+    Kind("four, slow hosts", 4, work=0.02),
+    Kind("40 of one source beside one", 40, depth=50, other=True),
+    Kind("connect and close", 0, churn=16),
+)
 
 
 def command(customer: int, name: bytes) -> bytes:
@@ -105,7 +109,8 @@
     for number in range(kind.pipelines + kind.other):
         source = ("127.0.0.2", 0) if number == kind.pipelines else None
         _, pipeline = await loop.create_connection(
-            lambda number=number: Pipeline(number, kind.depth), host, int(port), local_addr=source)
+            lambda number=number: Pipeline(number, kind.depth), host, int(port), local_addr=source
+        )
         made.append(pipeline)
     churned: Counter[str] = Counter()
     end = time.monotonic() + seconds
@@ -157,8 +162,15 @@
             await asyncio.sleep(WARM)
             before, end = cpu(gateway.process.pid), time.monotonic() + seconds
             presser = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "calicomast.lab.crowd", "--press", place, kind.name, str(seconds),
-                stdout=asyncio.subprocess.PIPE)
+                sys.executable,
+                "-m",
+                "calicomast.lab.crowd",
+                "--press",
+                place,
+                kind.name,
+                str(seconds),
+                stdout=asyncio.subprocess.PIPE,
+            )
             await asyncio.gather(*(light(n, place, end, told) for n in range(LIGHT)))
             counts = json.loads((await presser.communicate())[0])
             spent = cpu(gateway.process.pid) - before
@@ -166,16 +178,18 @@
             await fleet.stop()
     times, served = sorted(seconds for seconds, _ in told), [c.get("served", 0) for c in counts]
     all_served = sum(served) + sum(answer == b"$" for _, answer in told)
-    figures = {"light: median ms": times[len(times) // 2] * 1000,
-               "light: 99th percentile ms": times[int(len(times) * 0.99)] * 1000,
-               "light: refused %": 100 * sum(answer != b"$" for _, answer in told) / len(told),
-               "CPU a served request, ms": 1000 * spent / max(1, all_served)}
+    figures = {
+        "light: median ms": times[len(times) // 2] * 1000,
+        "light: 99th percentile ms": times[int(len(times) * 0.99)] * 1000,
+        "light: refused %": 100 * sum(answer != b"$" for _, answer in told) / len(told),
+        "CPU a served request, ms": 1000 * spent / max(1, all_served),
+    }
     if kind.churn:
         figures["connections a second"] = sum(served) / seconds
     if kind.pipelines:
         figures["pipelines: served a second"] = sum(served) / seconds
     if kind.pipelines > 1:
-        figures["pipelines: Jain's index"] = jain(served[:kind.pipelines])
+        figures["pipelines: Jain's index"] = jain(served[: kind.pipelines])
     if kind.other:
         figures["pipelines: the other source's part"] = served[-1] / max(1, sum(served))
     return figures
@@ -203,8 +217,10 @@
             cells = []
             for on in (False, True):
                 values = sorted(play[name] for play in plays[on])
-                cells.append(f"{'on' if on else 'off'} {statistics.median(values):.4g} "
-                             f"({values[0]:.4g} to {values[-1]:.4g})")
+                cells.append(
+                    f"{'on' if on else 'off'} {statistics.median(values):.4g} "
+                    f"({values[0]:.4g} to {values[-1]:.4g})"
+                )
             print(f"{kind.name}: {name}: {', '.join(cells)}", flush=True)
 
 
--- a/calicomast/lab/faults/__main__.py
+++ b/calicomast/lab/faults/__main__.py
@@ -30,8 +30,11 @@
 
 def main() -> int:
     shipped = ", ".join(sorted(path.stem for path in SHIPPED.glob("*.toml")))
-    parser = argparse.ArgumentParser(prog="python -m calicomast.lab.faults", description=__doc__,
-                                     epilog=f"Scenarios that come with the program: {shipped}.")
+    parser = argparse.ArgumentParser(
+        prog="python -m calicomast.lab.faults",
+        description=__doc__,
+        epilog=f"Scenarios that come with the program: {shipped}.",
+    )
     parser.add_argument("scenario", help="a file that ends in .toml, or one that comes with the program")
     parser.add_argument("--seed", type=int, default=1, help="of what is drawn")
     parser.add_argument("--events", type=Path, help="a file for what is printed: what was done, a line each")
--- a/calicomast/lab/faults/play.py
+++ b/calicomast/lab/faults/play.py
@@ -52,8 +52,16 @@
             if max(late.values()) > self.scenario.late:
                 verdict, why = VOID, f"this machine was late; else {verdict} {why}".strip()
             worst = dict(sorted(late.items(), key=lambda item: -item[1])[:4])
-            self.note({"verdict": verdict, "why": why, "seed": self.seed, "late": worst,
-                       "links": self.world.network.counts(), "seconds": self.elapsed()})
+            self.note(
+                {
+                    "verdict": verdict,
+                    "why": why,
+                    "seed": self.seed,
+                    "late": worst,
+                    "links": self.world.network.counts(),
+                    "seconds": self.elapsed(),
+                }
+            )
         finally:
             await self.world.stop()
         return verdict
@@ -64,14 +72,23 @@
     async def take(self, number: int, step: Any) -> None:
         at = self.elapsed()
         done = await self.act(step)
-        plain = {key: value for key, value in msgspec.to_builtins(step).items()
-                 if key not in ("check", "within", "holds")}
+        plain = {
+            key: value
+            for key, value in msgspec.to_builtins(step).items()
+            if key not in ("check", "within", "holds")
+        }
         self.note({"at": at, "step": number, **plain, **done, "took": round(self.elapsed() - at, 3)})
         if step.check is not None:
             at = self.elapsed()
             await self.fitting(step.check, step.within)
-            self.note({"at": self.elapsed(), "step": number, "fits": msgspec.to_builtins(step.check),
-                       "took": round(self.elapsed() - at, 3)})
+            self.note(
+                {
+                    "at": self.elapsed(),
+                    "step": number,
+                    "fits": msgspec.to_builtins(step.check),
+                    "took": round(self.elapsed() - at, 3),
+                }
+            )
             await self.hold(step.check, step.holds)
         else:
             await self.always()
@@ -90,7 +107,7 @@
         elif isinstance(step, told.Link):
             for one in world.named(step.source):
                 for other in world.named(step.to):
-                    for a, b in ((one, other), (other, one))[:1 + step.both]:
+                    for a, b in ((one, other), (other, one))[: 1 + step.both]:
                         if a is not b:
                             world.network.treat(a.name, b.name, step.treatment(), step.half_open, step.resets)
         else:
--- a/calicomast/lab/faults/scenario.py
+++ b/calicomast/lab/faults/scenario.py
@@ -49,8 +49,9 @@
     states: Names
 
 
-class Status(Struct, frozen=True, omit_defaults=True, tag="status", tag_field="that",
-             forbid_unknown_fields=True):
+class Status(
+    Struct, frozen=True, omit_defaults=True, tag="status", tag_field="that", forbid_unknown_fields=True
+):
     """What GET /status tells at `path` (keys with dots between); one that tells nothing does not fit."""
 
     of: Names
@@ -60,8 +61,9 @@
     most: float | None = None
 
 
-class Logged(Struct, frozen=True, omit_defaults=True, tag="logged", tag_field="that",
-             forbid_unknown_fields=True):
+class Logged(
+    Struct, frozen=True, omit_defaults=True, tag="logged", tag_field="that", forbid_unknown_fields=True
+):
     """`text` stands in the log as often as `times` says; not given: at least once."""
 
     of: Names
@@ -176,8 +178,22 @@
     """All links are whole again."""
 
 
-Any = (Look | Wait | Kill | Start | Pause | Resume | Slow | FillDisk | FreeDisk | ReadOnly | Tear | Storm
-       | Link | Heal)
+Any = (
+    Look
+    | Wait
+    | Kill
+    | Start
+    | Pause
+    | Resume
+    | Slow
+    | FillDisk
+    | FreeDisk
+    | ReadOnly
+    | Tear
+    | Storm
+    | Link
+    | Heal
+)
 
 
 class Scenario(Struct, frozen=True, forbid_unknown_fields=True):
--- a/calicomast/lab/faults/world.py
+++ b/calicomast/lab/faults/world.py
@@ -68,9 +68,11 @@
             for name, (host, port) in told.items():
                 self.cluster[name] |= {"advertise": f"{host}:{port}", "seeds": seeds}
                 self.cluster[name]["counter"] = await self.network.stream(
-                    name, "counter", place_of(self.counter.places["listen"]))
+                    name, "counter", place_of(self.counter.places["listen"])
+                )
                 self.cluster[name]["discovery"] = await self.network.stream(
-                    name, "registry", place_of(self.registry_at))
+                    name, "registry", place_of(self.registry_at)
+                )
         return servers
 
     async def alone(self) -> list[Json]:
@@ -260,8 +262,9 @@
 
     def plan_budgets(self) -> None:
         self.budgets_at = f"{LOOPBACK}:{free_port()}"
-        self.grantor = self.part("grantor", "calicomast.budgets",
-                                 env={"BUDGETS_CONFIG": str(self.folder / "budgets.json")})
+        self.grantor = self.part(
+            "grantor", "calicomast.budgets", env={"BUDGETS_CONFIG": str(self.folder / "budgets.json")}
+        )
         self.grantor.places = {"listen": self.budgets_at}
         self.meter = self.part("meter", "calicomast.lab.budgets.meter", str(self.folder / "budgets.json"))
         for name in ("grantor", *(f"holder-{n}" for n in range(self.shape.holders))):
@@ -271,10 +274,24 @@
         """A whole of four units of a level a holder, and as many of a rate a second."""
         assert self.grantor is not None and self.meter is not None
         most = self.shape.holders
-        budgets = [{"name": "connections", "kind": "level", "whole": 5 * most, "reserve": most, "least": 1,
-                    "linger": WORK + IDLE + 0.2},
-                   {"name": "connects", "kind": "rate", "whole": 4 * most, "reserve": most, "least": 0.5,
-                    "burst": 3 * most}]
+        budgets = [
+            {
+                "name": "connections",
+                "kind": "level",
+                "whole": 5 * most,
+                "reserve": most,
+                "least": 1,
+                "linger": WORK + IDLE + 0.2,
+            },
+            {
+                "name": "connects",
+                "kind": "rate",
+                "whole": 4 * most,
+                "reserve": most,
+                "least": 0.5,
+                "burst": 3 * most,
+            },
+        ]
         terms = {"most": most, "length": 2.0, "every": 0.25, "drift": 0.03, "budgets": budgets}
         log = {"log": str(self.disk(self.grantor) / "budgets.db")} if self.shape.log else {}
         write(self.folder / "budgets.json", {"listen": self.budgets_at, "terms": terms, **log})
@@ -282,11 +299,25 @@
         for number in range(most):
             name = f"holder-{number}"
             place = await self.network.stream(name, "grantor", place_of(self.budgets_at))
-            self.holders.append(self.part(
-                name, "calicomast.lab.budgets.holder", str(self.folder / "budgets.json"),
-                "--name", name,
-                "--index", str(number), "--grantor", place, "--meter", self.meter.places["listen"],
-                "--folder", str(self.disk_of(name)), "--pace", str(PACES[number % len(PACES)])))
+            self.holders.append(
+                self.part(
+                    name,
+                    "calicomast.lab.budgets.holder",
+                    str(self.folder / "budgets.json"),
+                    "--name",
+                    name,
+                    "--index",
+                    str(number),
+                    "--grantor",
+                    place,
+                    "--meter",
+                    self.meter.places["listen"],
+                    "--folder",
+                    str(self.disk_of(name)),
+                    "--pace",
+                    str(PACES[number % len(PACES)]),
+                )
+            )
         await self.begin_all(self.holders)
 
     # What is seen
--- a/calicomast/lab/membership/__main__.py
+++ b/calicomast/lab/membership/__main__.py
@@ -118,7 +118,7 @@
     swim = Swim("c", "m0", address_of(0), 1, [], random.Random(1), 0.0, {"kind": "gateway"})
     rows = [[f"m{n}", *address_of(n), 1, ORDER[ALIVE], {"kind": "gateway"}] for n in range(1, size)]
     for start in range(0, size, 8):
-        swim.emit(address_of(1), {"k": "more", "s": 0, "r": rows[start:start + 8]})
+        swim.emit(address_of(1), {"k": "more", "s": 0, "r": rows[start : start + 8]})
         swim.receive(0.0, address_of(1), swim.take()[-1].data.replace(b'"f":"m0"', b'"f":"m1"'))
     return swim
 
@@ -177,8 +177,16 @@
             runs = list(pool.map(detection, cases))
             every = [took for run in runs for took in run]
             missed = sum(len(run) < size - 1 for run in runs)
-            rows.append((str(size), f"{loss:.0%}", f"{statistics.median(every):.1f}",
-                         f"{of(every, 0.99):.1f}", f"{max(every):.1f}", str(missed)))
+            rows.append(
+                (
+                    str(size),
+                    f"{loss:.0%}",
+                    f"{statistics.median(every):.1f}",
+                    f"{of(every, 0.99):.1f}",
+                    f"{max(every):.1f}",
+                    str(missed),
+                )
+            )
     table(("members", "loss", "known, median s", "99th percentile", "last", "runs where not all knew"), rows)
 
 
@@ -188,8 +196,15 @@
         for loss in args.losses:
             cases = [Case(size, loss, seed, args.seconds) for seed in range(args.seeds)]
             runs = list(pool.map(falsely, cases))
-            rows.append((str(size), f"{loss:.0%}", f"{args.seeds} of {args.seconds:g} s",
-                         str(sum(members for members, _ in runs)), str(sum(pairs for _, pairs in runs))))
+            rows.append(
+                (
+                    str(size),
+                    f"{loss:.0%}",
+                    f"{args.seeds} of {args.seconds:g} s",
+                    str(sum(members for members, _ in runs)),
+                    str(sum(pairs for _, pairs in runs)),
+                )
+            )
     table(("members", "loss", "runs", "members held dead by anybody", "pairs"), rows)
 
 
@@ -199,8 +214,15 @@
         for seconds in SPLITS:
             runs = list(pool.map(healing, [Case(size, 0.0, seed, seconds) for seed in range(args.seeds)]))
             took = [seconds for seconds, _ in runs]
-            rows.append((str(size), f"{seconds:g}", f"{statistics.median(took):.1f}", f"{max(took):.1f}",
-                         str(sum(held for _, held in runs))))
+            rows.append(
+                (
+                    str(size),
+                    f"{seconds:g}",
+                    f"{statistics.median(took):.1f}",
+                    f"{max(took):.1f}",
+                    str(sum(held for _, held in runs)),
+                )
+            )
     table(("members", "split for s", "one view after, median s", "longest", "neighbours held dead"), rows)
 
 
@@ -209,17 +231,29 @@
     for size in args.sizes:
         for seconds in PAUSES:
             runs = list(pool.map(pausing, [Case(size, 0.0, seed, seconds) for seed in range(args.seeds)]))
-            rows.append((str(size), f"{seconds:g}", str(sum(run[0] for run in runs)),
-                         str(sum(run[1] for run in runs)), f"{max(run[2] for run in runs):.1f}"))
-    table(("members", "pause s", "others held dead by one awake", "by one that woke", "one view after s"),
-          rows)
+            rows.append(
+                (
+                    str(size),
+                    f"{seconds:g}",
+                    str(sum(run[0] for run in runs)),
+                    str(sum(run[1] for run in runs)),
+                    f"{max(run[2] for run in runs):.1f}",
+                )
+            )
+    table(
+        ("members", "pause s", "others held dead by one awake", "by one that woke", "one view after s"), rows
+    )
 
 
 def show_load(args: argparse.Namespace, pool: ProcessPoolExecutor) -> None:
     cases = [Case(size, 0.0, 1, 60.0) for size in args.sizes]
-    table(("members", "datagrams a member a second", "bytes"),
-          [(str(case.size), f"{sent:.2f}", f"{size:.0f}")
-           for case, (sent, size) in zip(cases, pool.map(load, cases), strict=True)])
+    table(
+        ("members", "datagrams a member a second", "bytes"),
+        [
+            (str(case.size), f"{sent:.2f}", f"{size:.0f}")
+            for case, (sent, size) in zip(cases, pool.map(load, cases), strict=True)
+        ],
+    )
 
 
 def show_cost(args: argparse.Namespace, pool: ProcessPoolExecutor) -> None:
@@ -227,8 +261,16 @@
     for size in args.sizes:
         runs = [cost(size) for _ in range(args.seeds)]
         rows.append((str(size), *(f"{statistics.median(values):.1f}" for values in zip(*runs, strict=True))))
-    table(("members known", "a period, us", "a datagram of 16 rumours, us", "a whole exchange, us",
-           "memory a member, kB"), rows)
+    table(
+        (
+            "members known",
+            "a period, us",
+            "a datagram of 16 rumours, us",
+            "a whole exchange, us",
+            "memory a member, kB",
+        ),
+        rows,
+    )
 
 
 def show_storms(args: argparse.Namespace, pool: ProcessPoolExecutor) -> None:
@@ -236,8 +278,10 @@
     for seed, (breaches, _) in enumerate(runs):
         if breaches:
             print(f"seed {seed}: {breaches[0]}")
-    print(f"{len(runs)} storms, {sum(bool(breaches) for breaches, _ in runs)} with a breach; pairs of one "
-          f"that held another dead, which most reached: {sum(false for _, false in runs)}")
+    print(
+        f"{len(runs)} storms, {sum(bool(breaches) for breaches, _ in runs)} with a breach; pairs of one "
+        f"that held another dead, which most reached: {sum(false for _, false in runs)}"
+    )
 
 
 def storm(seed: int) -> tuple[list[str], int]:
@@ -246,8 +290,14 @@
 
 
 KINDS: dict[str, Callable[[argparse.Namespace, ProcessPoolExecutor], None]] = {
-    "detection": show_detection, "false": show_false, "splits": show_splits, "pauses": show_pauses,
-    "load": show_load, "cost": show_cost, "storms": show_storms}
+    "detection": show_detection,
+    "false": show_false,
+    "splits": show_splits,
+    "pauses": show_pauses,
+    "load": show_load,
+    "cost": show_cost,
+    "storms": show_storms,
+}
 
 
 def main() -> int:
--- a/calicomast/lab/membership/referee.py
+++ b/calicomast/lab/membership/referee.py
@@ -86,8 +86,11 @@
                 self.breach("size", f"{member.name} sent {size} bytes")
         sent = self.count(self.sent, member, len(sizes))
         whole = len(member.members) / ROWS + 1
-        most = (MOST_SENT * SPAN + MOST_EACH * (self.count(self.came, member, 0) + whole)
-                + whole * self.count(self.asked, member, 0))
+        most = (
+            MOST_SENT * SPAN
+            + MOST_EACH * (self.count(self.came, member, 0) + whole)
+            + whole * self.count(self.asked, member, 0)
+        )
         if sent > most:
             self.breach("number", f"{member.name} sent {sent} datagrams in {SPAN:g} s; {most:.0f} are due")
 
--- a/calicomast/lab/membership/world.py
+++ b/calicomast/lab/membership/world.py
@@ -77,8 +77,16 @@
     def start(self, name: str, place: int, incarnation: int, seeds: list[Address] | None = None) -> Swim:
         address = address_of(place)
         known = [address_of(n) for n in range(SEEDS)] if seeds is None else seeds
-        swim = Swim(self.name, name, address, incarnation, known, random.Random(self.rng.random()), self.now,
-                    {"kind": "gateway"})
+        swim = Swim(
+            self.name,
+            name,
+            address,
+            incarnation,
+            known,
+            random.Random(self.rng.random()),
+            self.now,
+            {"kind": "gateway"},
+        )
         self.members[address] = self.by_name[name] = swim
         self.wakes.pop(address, None)
         self.plan(swim)
@@ -181,9 +189,14 @@
     def reaches(self, name: str) -> int:
         if self.by_name[name].address in self.paused or self.by_name[name].address in self.slow:
             return 0
-        return sum(1 for other in self.members.values() if other.name != name
-                   and other.address not in self.paused
-                   and (name, other.name) not in self.cuts and (other.name, name) not in self.cuts)
+        return sum(
+            1
+            for other in self.members.values()
+            if other.name != name
+            and other.address not in self.paused
+            and (name, other.name) not in self.cuts
+            and (other.name, name) not in self.cuts
+        )
 
     def pause(self, *names: str) -> None:
         for name in names:
@@ -231,8 +244,12 @@
 
     def dead(self) -> set[tuple[str, str]]:
         """Pairs (who, of whom) in which a member that lives is held dead."""
-        return {(m.name, o.name) for m in self.members.values() for o in m.members.values()
-                if o.state == DEAD and o.name in self.by_name}
+        return {
+            (m.name, o.name)
+            for m in self.members.values()
+            for o in m.members.values()
+            if o.state == DEAD and o.name in self.by_name
+        }
 
     def known_dead(self, name: str) -> bool:
         return not any(name in m.there.at for m in self.members.values())
@@ -240,8 +257,28 @@
 
 # Storms
 
-FAULTS = ("kill", "kill", "clock back", "other name", "pause", "pause third", "resume", "resume", "deaf",
-          "mute", "pair", "ring", "split", "three", "heal", "heal", "loss", "slow", "freely", "leave")
+FAULTS = (
+    "kill",
+    "kill",
+    "clock back",
+    "other name",
+    "pause",
+    "pause third",
+    "resume",
+    "resume",
+    "deaf",
+    "mute",
+    "pair",
+    "ring",
+    "split",
+    "three",
+    "heal",
+    "heal",
+    "loss",
+    "slow",
+    "freely",
+    "leave",
+)
 
 
 class Storm:
--- a/calicomast/lab/scale/beside.py
+++ b/calicomast/lab/scale/beside.py
@@ -89,8 +89,10 @@
     with tempfile.TemporaryDirectory(prefix="scale-") as text:
         folder = Path(text)
         seeds = [f"127.0.0.1:{free_port(socket.SOCK_DGRAM)}" for _ in range(REAL)]
-        async with Rig(folder, 200, count) as rig, Crowds(
-                folder, {"kind": "members", "seeds": seeds}, count - REAL) as crowds:
+        async with (
+            Rig(folder, 200, count) as rig,
+            Crowds(folder, {"kind": "members", "seeds": seeds}, count - REAL) as crowds,
+        ):
             for number, place in enumerate(seeds):
                 cluster = {"cluster": "scale", "listen": place, "seeds": seeds}
                 await rig.start(number, lambda tree, cluster=cluster: tree | {"membership": cluster})
@@ -101,12 +103,18 @@
             after, sent_after, cpu = await crowds.each(), await sent_by(rig), crowds.cpu() - cpu
 
             def rate(name: str) -> float:
-                return statistics.fmean(b[name] - a[name]
-                                        for a, b in zip(before, after, strict=True)) / seconds
+                return (
+                    statistics.fmean(b[name] - a[name] for a, b in zip(before, after, strict=True)) / seconds
+                )
 
             real = statistics.fmean(b - a for a, b in zip(sent, sent_after, strict=True)) / seconds
-            figures = {"messages_s": rate("sent"), "bytes_out_s": rate("out"), "bytes_in_s": rate("back"),
-                       "cpu_share": cpu / seconds / 1000 / crowds.count, "rss_mb": crowds.mb()}
+            figures = {
+                "messages_s": rate("sent"),
+                "bytes_out_s": rate("out"),
+                "bytes_in_s": rate("back"),
+                "cpu_share": cpu / seconds / 1000 / crowds.count,
+                "rss_mb": crowds.mb(),
+            }
             return figures, {"messages_s": Off(real, rate("sent"), off(real, rate("sent")), CHANCE)}
 
 
@@ -121,13 +129,18 @@
 
 async def holders(count: int, seconds: float) -> dict[str, float]:
     """Of the grantor; bytes are those of one holder's exchanges times all of them."""
-    terms = Terms(most=count, budgets=[
-        Budget(f"b{n}", LEVEL, 20 * count, reserve=count, least=1, linger=1.0) for n in range(BUDGETS)])
+    terms = Terms(
+        most=count,
+        budgets=[
+            Budget(f"b{n}", LEVEL, 20 * count, reserve=count, least=1, linger=1.0) for n in range(BUDGETS)
+        ],
+    )
     with tempfile.TemporaryDirectory(prefix="scale-") as text:
         folder, place = Path(text), f"127.0.0.1:{free_port()}"
         (folder / "budgets.json").write_bytes(msgspec.json.encode(File(place, terms, str(folder / "x.db"))))
-        grantor = Part("grantor", folder, "calicomast.budgets",
-                       env={"BUDGETS_CONFIG": str(folder / "budgets.json")})
+        grantor = Part(
+            "grantor", folder, "calicomast.budgets", env={"BUDGETS_CONFIG": str(folder / "budgets.json")}
+        )
         wire = Wire(place)
         await grantor.start()
         await asyncio.sleep(1.0)
@@ -146,12 +159,17 @@
                 sent = sum(b["sent"] - a["sent"] for a, b in zip(before, after, strict=True))
                 exchanges = sent * count / crowds.count
                 out, back, calls = (b - a for a, b in zip(counts, counts_after, strict=True))
-                return {"cpu_share": cpu / seconds / 1000, "rss_mb": machine.resident_mb(number),
-                        "messages_s": exchanges / seconds, "bytes_in_s": out / calls * exchanges / seconds,
-                        "bytes_out_s": back / calls * exchanges / seconds,
-                        "cpu_ms_a_message": cpu / exchanges,
-                        "holder_cpu_share": crowd_cpu / seconds / 1000 / crowds.count,
-                        "holder_mb": crowds.mb(), "failures": sum(it["failures"] for it in after)}
+                return {
+                    "cpu_share": cpu / seconds / 1000,
+                    "rss_mb": machine.resident_mb(number),
+                    "messages_s": exchanges / seconds,
+                    "bytes_in_s": out / calls * exchanges / seconds,
+                    "bytes_out_s": back / calls * exchanges / seconds,
+                    "cpu_ms_a_message": cpu / exchanges,
+                    "holder_cpu_share": crowd_cpu / seconds / 1000 / crowds.count,
+                    "holder_mb": crowds.mb(),
+                    "failures": sum(it["failures"] for it in after),
+                }
         finally:
             await one.stop()
             await grantor.stop()
--- a/calicomast/lab/scale/cells.py
+++ b/calicomast/lab/scale/cells.py
@@ -25,9 +25,23 @@
 PACKAGE = Path(__file__).resolve().parents[2]
 
 TARGET, ASSUMED, CODE, ARITHMETIC, MEASURED, DERIVED, EXTRAPOLATED = (
-    "target", "assumed", "code", "arithmetic", "measured", "derived", "extrapolated")
-MARKS = {TARGET: "T", ASSUMED: "S", CODE: "C", ARITHMETIC: "A", MEASURED: "M", DERIVED: "D",
-         EXTRAPOLATED: "E"}
+    "target",
+    "assumed",
+    "code",
+    "arithmetic",
+    "measured",
+    "derived",
+    "extrapolated",
+)
+MARKS = {
+    TARGET: "T",
+    ASSUMED: "S",
+    CODE: "C",
+    ARITHMETIC: "A",
+    MEASURED: "M",
+    DERIVED: "D",
+    EXTRAPOLATED: "E",
+}
 EXACT = (TARGET, ASSUMED, CODE)
 # What a mark says beside its letter
 ONCE, BUSY, FAILED, OTHER = REMARKS = "1", "~", "!", "^"
@@ -69,18 +83,28 @@
 def joined(left: Figure, sign: str, right: Figure) -> Figure:
     value: float | None = None
     if left.value is not None and right.value is not None:
-        value = {"+": lambda a, b: a + b, "-": lambda a, b: a - b, "*": lambda a, b: a * b,
-                 "/": lambda a, b: a / b if b else math.inf}[sign](left.value, right.value)
+        value = {
+            "+": lambda a, b: a + b,
+            "-": lambda a, b: a - b,
+            "*": lambda a, b: a * b,
+            "/": lambda a, b: a / b if b else math.inf,
+        }[sign](left.value, right.value)
     kinds = {left.kind, right.kind}
-    kind = (EXTRAPOLATED if EXTRAPOLATED in kinds else DERIVED if kinds & {MEASURED, DERIVED} else ARITHMETIC)
+    kind = EXTRAPOLATED if EXTRAPOLATED in kinds else DERIVED if kinds & {MEASURED, DERIVED} else ARITHMETIC
     first, second = left.expr, right.expr
     if sign in "*/":
         first, second = (f"({text})" if " + " in text or " - " in text else text for text in (first, second))
         second = f"({second})" if sign == "/" and (" * " in second or " / " in second) else second
     if sign == "-" and (" + " in second or " - " in second):
         second = f"({second})"
-    return Figure(value, f"{first} {sign} {second}", kind, "",
-                  tuple(dict.fromkeys((*left.runs, *right.runs))), left.remarks | right.remarks)
+    return Figure(
+        value,
+        f"{first} {sign} {second}",
+        kind,
+        "",
+        tuple(dict.fromkeys((*left.runs, *right.runs))),
+        left.remarks | right.remarks,
+    )
 
 
 def most(*figures: Figure) -> Figure:
@@ -142,8 +166,17 @@
         """A constant of the program, read from its text: the lab imports little of it."""
         return Figure(constant(module, name), f"{module}.{name}", CODE, unit)
 
-    def measured(self, figure: str, role: str, axis: str, at: Figure, variant: str = "", build: str = "",
-                 unit: str = "", name: str = "") -> Figure:
+    def measured(
+        self,
+        figure: str,
+        role: str,
+        axis: str,
+        at: Figure,
+        variant: str = "",
+        build: str = "",
+        unit: str = "",
+        name: str = "",
+    ) -> Figure:
         """From the newest run of a role along an axis that has the figure: the median at that size, or by its
         fit where there are no points; past the largest only if the form fits well and held its trial."""
         run = self.run(figure, role, axis, variant, build, name)
@@ -158,11 +191,20 @@
         found = fitted(tuple(values))
         beyond = at.value > max(point for point, _ in values)
         foretold = None if beyond and not fit.foretells(found) else fit.predict(found, at.value)
-        return Figure(foretold, source, EXTRAPOLATED, unit, (run.name,),
-                      self.remarks(run, figure, lambda _: True))
-
-    def in_yardsticks(self, figure: str, role: str, axis: str, at: Figure, variant: str = "", build: str = "",
-                      name: str = "") -> Figure:
+        return Figure(
+            foretold, source, EXTRAPOLATED, unit, (run.name,), self.remarks(run, figure, lambda _: True)
+        )
+
+    def in_yardsticks(
+        self,
+        figure: str,
+        role: str,
+        axis: str,
+        at: Figure,
+        variant: str = "",
+        build: str = "",
+        name: str = "",
+    ) -> Figure:
         """A time in ms beside the fixed work that was timed just before its point, so that it may be read on
         another machine; not measured at a size without points."""
         run = self.run(figure, role, axis, variant, build, name)
@@ -172,10 +214,19 @@
         def near(size: float) -> bool:
             return abs(size / (at.value or 1) - 1) <= NEAR
 
-        here = [point.figures[figure] / point.yardstick_ms for point in run.points
-                if figure in point.figures and near(point.at) and point.yardstick_ms]
-        return Figure(statistics.median(here) if here else None, f"{run.name}.{figure}/yardstick@{at.expr}",
-                      MEASURED, "yardsticks", (run.name,), self.remarks(run, figure, near))
+        here = [
+            point.figures[figure] / point.yardstick_ms
+            for point in run.points
+            if figure in point.figures and near(point.at) and point.yardstick_ms
+        ]
+        return Figure(
+            statistics.median(here) if here else None,
+            f"{run.name}.{figure}/yardstick@{at.expr}",
+            MEASURED,
+            "yardsticks",
+            (run.name,),
+            self.remarks(run, figure, near),
+        )
 
     def remarks(self, run: Run, figure: str, fits: Callable[[float], bool]) -> frozenset[str]:
         """Of the points at sizes that fit: one has a single repeat, one was measured beside other work; of
@@ -189,8 +240,9 @@
         if any(len(repeats) == 1 for repeats in sticks.values()):
             found.add(ONCE)
         least = self.sticks[structs.astuple(run.machine)]
-        if TIMES.search(figure) and any(statistics.median(repeats) > BUSY_AT * least
-                                        for repeats in sticks.values()):
+        if TIMES.search(figure) and any(
+            statistics.median(repeats) > BUSY_AT * least for repeats in sticks.values()
+        ):
             found.add(BUSY)
         if run.failed:
             found.add(FAILED)
@@ -200,8 +252,9 @@
                 found.add(OTHER)
         return frozenset(found)
 
-    def held(self, size: str, figure: str, role: str, axis: str, variant: str = "", build: str = "",
-             unit: str = "") -> Figure:
+    def held(
+        self, size: str, figure: str, role: str, axis: str, variant: str = "", build: str = "", unit: str = ""
+    ) -> Figure:
         """What a run held while it went along its axis; not measured where there's no such run."""
         run = self.run(figure, role, axis, variant, build)
         value = run.held.get(size) if run else None
@@ -209,15 +262,23 @@
             return Figure(None, f"{role}/{axis}.held.{size}", MEASURED, unit)
         return Figure(float(value), f"{run.name}.held.{size}", MEASURED, unit, (run.name,))
 
-    def run(self, figure: str, role: str, axis: str, variant: str = "", build: str = "",
-            name: str = "") -> Run | None:
+    def run(
+        self, figure: str, role: str, axis: str, variant: str = "", build: str = "", name: str = ""
+    ) -> Run | None:
         """The newest; `variant`, `build` and `name` are how these begin, a build with "!" is none that begins
         so."""
         for run in self.by_axis.get((role, axis), ()):
-            fits = run.build.startswith(build) if not build.startswith("!") else \
-                not run.build.startswith(build[1:])
-            if (run.variant.startswith(variant) and fits and run.name.startswith(name)
-                    and any(figure in point.figures for point in run.points)):
+            fits = (
+                run.build.startswith(build)
+                if not build.startswith("!")
+                else not run.build.startswith(build[1:])
+            )
+            if (
+                run.variant.startswith(variant)
+                and fits
+                and run.name.startswith(name)
+                and any(figure in point.figures for point in run.points)
+            ):
                 return run
         return None
 
@@ -248,8 +309,9 @@
         self.shown.add(text)
         return text
 
-    def slope(self, figure: str, role: str, axis: str, unit: str, variant: str = "", build: str = "",
-              name: str = "") -> str:
+    def slope(
+        self, figure: str, role: str, axis: str, unit: str, variant: str = "", build: str = "", name: str = ""
+    ) -> str:
         """Form, coefficients, residual and trial of a run's fit, and the run."""
         run = self.run(figure, role, axis, variant, build, name)
         if run is None:
@@ -259,13 +321,20 @@
 
     def form(self, found: dict[str, Any], unit: str, axis: str) -> str:
         if found["form"] == fit.TOO_FEW:
-            rows = [f"{self.plain(digits(row['median']))} at {self.plain(size(row['at']))}"
-                    for row in found["spread"]]
+            rows = [
+                f"{self.plain(digits(row['median']))} at {self.plain(size(row['at']))}"
+                for row in found["spread"]
+            ]
             return f"{unit}: {', '.join(rows)} {axis}; too few sizes for a form"
         if found["form"] == fit.NONE:
             return f"{unit}: no form fits"
-        term = {"constant": "", "log": f"ln({axis})", "linear": axis, "n log n": f"{axis} ln({axis})",
-                "worse": f"{axis}^{self.plain(format(found.get('power', 0), 'g'))}"}[found["form"]]
+        term = {
+            "constant": "",
+            "log": f"ln({axis})",
+            "linear": axis,
+            "n log n": f"{axis} ln({axis})",
+            "worse": f"{axis}^{self.plain(format(found.get('power', 0), 'g'))}",
+        }[found["form"]]
         text = f"{unit}: {self.plain(digits(found['constant']))}"
         if term:
             sign = "-" if found["slope"] < 0 else "+"
--- a/calicomast/lab/scale/configuration.py
+++ b/calicomast/lab/scale/configuration.py
@@ -25,6 +25,7 @@
 
 async def change(plans: int) -> dict[str, float]:
     """Of a change; CPU is that above rest."""
+
     def tree(told: Json) -> Json:
         made = [PLANS[n % len(PLANS)] | {"name": f"plan-{n:05d}"} for n in range(plans)]
         return told | {"settings": told["settings"] | {"plans": made}}
@@ -53,5 +54,9 @@
                 times.append(time.monotonic() - at_once)
                 await asyncio.sleep(max(0.0, began + (number + 1) * EVERY - time.monotonic()))
             spent = machine.cpu_ms(real.number) - cpu - rest
-            return {"cpu_ms_a_change": spent / CHANGES, "apply_ms": 1000 * statistics.median(times),
-                    "config_bytes": float(len(body)), "rss_mb": machine.resident_mb(real.number)}
+            return {
+                "cpu_ms_a_change": spent / CHANGES,
+                "apply_ms": 1000 * statistics.median(times),
+                "config_bytes": float(len(body)),
+                "rss_mb": machine.resident_mb(real.number),
+            }
--- a/calicomast/lab/scale/connects.py
+++ b/calicomast/lab/scale/connects.py
@@ -73,13 +73,16 @@
         driver.close(host)
     used = [count for count in driver.open.values() if count]
     last = range(int(START), int(START + REST))
-    return {"connects_s": sum(driver.connects[second] for second in last) / REST,
-            "connects_s_most": float(max(driver.connects.values())),
-            "connects_start": float(sum(driver.connects[second] for second in range(10))),
-            "probes_s": sum(driver.probes[second] for second in last) / REST,
-            "probes_s_most": float(max(driver.probes.values(), default=0)),
-            "connections": float(sum(used)), "hosts_used": float(len(used)),
-            "connections_a_host_most": float(max(used))}
+    return {
+        "connects_s": sum(driver.connects[second] for second in last) / REST,
+        "connects_s_most": float(max(driver.connects.values())),
+        "connects_start": float(sum(driver.connects[second] for second in range(10))),
+        "probes_s": sum(driver.probes[second] for second in last) / REST,
+        "probes_s_most": float(max(driver.probes.values(), default=0)),
+        "connections": float(sum(used)),
+        "hosts_used": float(len(used)),
+        "connections_a_host_most": float(max(used)),
+    }
 
 
 def main() -> int:
--- a/calicomast/lab/scale/events.py
+++ b/calicomast/lab/scale/events.py
@@ -77,12 +77,19 @@
     def life(self, number: int = 0) -> None:
         """The service begins anew, and knows nothing."""
         self.registry = Registry(f"0123456789abcde{number:x}", FIRST)
-        self.service = Service(Config(("127.0.0.1", 0), None, self.case.gateways + 1, 0.0), self.registry,
-                               lambda: self.now)
+        self.service = Service(
+            Config(("127.0.0.1", 0), None, self.case.gateways + 1, 0.0), self.registry, lambda: self.now
+        )
 
     def host(self, number: int, started: int = 0) -> Host:
-        return Host(f"h-{number:08x}", f"10.{number >> 16}.{number >> 8 & 255}.{number & 255}:6379",
-                    self.case.zone(number), "std", number % 7, started_ms=started)
+        return Host(
+            f"h-{number:08x}",
+            f"10.{number >> 16}.{number >> 8 & 255}.{number & 255}:6379",
+            self.case.zone(number),
+            "std",
+            number % 7,
+            started_ms=started,
+        )
 
     def at(self, when: float, act: Callable[[], None]) -> None:
         heapq.heappush(self.acts, (when, next(self.order), act))
@@ -116,8 +123,7 @@
         if self.case.view:
             view = View(number, self.case.view, self.case.zone(number))
         if not index:
-            answer = (registry.answer(number, None) if view is None
-                      else registry.view(self.now, number, view))
+            answer = registry.answer(number, None) if view is None else registry.view(self.now, number, view)
         elif view is None:
             answer = registry.watch(self.now, number, index, WAIT, epoch)
         else:
@@ -201,8 +207,7 @@
     """Hosts one after another, spread over the fleet, but for the last of the time."""
     step = 7919  # prime to the number of hosts
     for count in range(int(PACE * (world.case.seconds - AWAY - 1))):
-        world.at(AT + count / PACE,
-                 lambda count=count: world.restart(count * step % world.case.hosts))
+        world.at(AT + count / PACE, lambda count=count: world.restart(count * step % world.case.hosts))
 
 
 def everything(world: World) -> None:
@@ -232,8 +237,10 @@
     world.reached, world.began = case.gateways, at
     for place, number in enumerate(number for number in range(case.hosts) if not case.beyond(number)):
         for again in range(1, int(2 * case.apart / LONG) + 1):  # they renew all the time
-            world.at(AT + again * LONG / 2 + place / case.hosts,
-                     lambda number=number: world.registry.renew(world.now, world.host(number).id, 1))
+            world.at(
+                AT + again * LONG / 2 + place / case.hosts,
+                lambda number=number: world.registry.renew(world.now, world.host(number).id, 1),
+            )
 
     def join() -> None:
         world.cut = range(0)
@@ -246,6 +253,7 @@
 def lost(world: World) -> None:
     """One copy of the service is lost, as each may be in turn: gateways ask the other, which knows all hosts
     but none of their versions."""
+
     def turn() -> None:
         world.broken(range(world.case.gateways))
         world.life(1)
@@ -257,20 +265,30 @@
 def back(world: World) -> None:
     """The only copy of the service is lost and comes back, and learns for a while: hosts register anew, each
     when its next renewal is due, before anything is told."""
+
     def turn() -> None:
         world.up_at = AT + AWAY + LEARN
         world.broken(range(world.case.gateways))
         world.life(1)
         for number in range(world.case.hosts):
-            world.at(AT + AWAY + SHORT / 2 * number / world.case.hosts,
-                     lambda number=number: world.register(number))
+            world.at(
+                AT + AWAY + SHORT / 2 * number / world.case.hosts,
+                lambda number=number: world.register(number),
+            )
 
     world.at(AT, turn)
 
 
 EVENTS: dict[str, Callable[[World], None]] = {
-    "rack": rack, "zone": zone, "rollout": rollout, "everything": everything, "apart": apart,
-    "healed": healed, "lost": lost, "back": back}
+    "rack": rack,
+    "zone": zone,
+    "rollout": rollout,
+    "everything": everything,
+    "apart": apart,
+    "healed": healed,
+    "lost": lost,
+    "back": back,
+}
 
 
 async def play(case: Case) -> dict[str, float]:
@@ -295,19 +313,22 @@
     count, service = world.reached, Counter[int]()
     for (_, second), size in world.seconds.items():
         service[second] += size
-    return {"messages_a_gateway": world.told.total() / count,
-            "messages_a_gateway_most": float(max(world.told.values(), default=0)),
-            "bytes_a_gateway": world.bytes.total() / count,
-            "bytes_a_gateway_most": float(max(world.bytes.values(), default=0)),
-            "bytes_in_s_most": float(max(world.seconds.values(), default=0)),
-            "entries_a_gateway": world.entries / count,
-            "messages": float(world.told.total()), "bytes": float(world.bytes.total()),
-            "service_bytes_out_s_most": float(max(service.values(), default=0)),
-            "last_s": max(0.0, world.last - world.began),
-            "hosts_up": float(sum(entry.host.state == "up" for entry in world.registry.entries.values())),
-            "hosts_held": float(len(world.registry.held)),
-            "refused": float(world.refused.total()),
-            "refused_s_most": float(max(world.refused.values(), default=0))}
+    return {
+        "messages_a_gateway": world.told.total() / count,
+        "messages_a_gateway_most": float(max(world.told.values(), default=0)),
+        "bytes_a_gateway": world.bytes.total() / count,
+        "bytes_a_gateway_most": float(max(world.bytes.values(), default=0)),
+        "bytes_in_s_most": float(max(world.seconds.values(), default=0)),
+        "entries_a_gateway": world.entries / count,
+        "messages": float(world.told.total()),
+        "bytes": float(world.bytes.total()),
+        "service_bytes_out_s_most": float(max(service.values(), default=0)),
+        "last_s": max(0.0, world.last - world.began),
+        "hosts_up": float(sum(entry.host.state == "up" for entry in world.registry.entries.values())),
+        "hosts_held": float(len(world.registry.held)),
+        "refused": float(world.refused.total()),
+        "refused_s_most": float(max(world.refused.values(), default=0)),
+    }
 
 
 def in_processes(told: dict[str, Any]) -> dict[str, Any]:
@@ -316,8 +337,13 @@
     after = told.pop("after")
     after = DRAIN if after is None else after
     case = Case(**told, seconds=SHORT + after + 1.0)
-    return {"figures": asyncio.run(play(case)), "rack": list(rack_of(case)), "after": after, "look": LOOK,
-            "gather": GATHER}
+    return {
+        "figures": asyncio.run(play(case)),
+        "rack": list(rack_of(case)),
+        "after": after,
+        "look": LOOK,
+        "gather": GATHER,
+    }
 
 
 def main() -> int:
--- a/calicomast/lab/scale/fit.py
+++ b/calicomast/lab/scale/fit.py
@@ -15,22 +15,25 @@
 
 Point = tuple[float, float]
 
-FORMS = ("constant", "log", "linear", "n log n", "worse")    # from the simplest
-TOO_FEW, NONE = "too few", "none"       # in place of a form
-LEAST_SIZES = 4             # different sizes, under which no form is named
-LEAST_TRIAL = 3             # different sizes left, under which there is no trial by prediction,
-LEAST_POINTS = 4            # nor under so many points: a form with a slope could not be chosen
-LEAST_SHARE = 0.01          # of the dearest size: what a cheaper one counts as when residuals are weighed
-LEAST_RESIDUAL = 0.01       # relative: forms that come closer than this aren't told apart
-TIE = 2.0                   # by which a form must beat a simpler one with as many coefficients
-SLOPE_GAIN = 10.0           # by which m ln(r^2) must fall at least for one coefficient more
-LOOSE = 0.2                 # relative residual above which a form does not describe the points well
-MOST_TRIAL = 0.2            # relative error of a trial above which a form tells nothing past its points
-HOPELESS = 0.4              # and above which none is named: noise of a busy machine stays below it
+FORMS = ("constant", "log", "linear", "n log n", "worse")  # from the simplest
+TOO_FEW, NONE = "too few", "none"  # in place of a form
+LEAST_SIZES = 4  # different sizes, under which no form is named
+LEAST_TRIAL = 3  # different sizes left, under which there is no trial by prediction,
+LEAST_POINTS = 4  # nor under so many points: a form with a slope could not be chosen
+LEAST_SHARE = 0.01  # of the dearest size: what a cheaper one counts as when residuals are weighed
+LEAST_RESIDUAL = 0.01  # relative: forms that come closer than this aren't told apart
+TIE = 2.0  # by which a form must beat a simpler one with as many coefficients
+SLOPE_GAIN = 10.0  # by which m ln(r^2) must fall at least for one coefficient more
+LOOSE = 0.2  # relative residual above which a form does not describe the points well
+MOST_TRIAL = 0.2  # relative error of a trial above which a form tells nothing past its points
+HOPELESS = 0.4  # and above which none is named: noise of a busy machine stays below it
 POWERS = tuple(round(1.2 + 0.05 * step, 2) for step in range(57))
 
 _TERMS: dict[str, Callable[[np.ndarray], np.ndarray]] = {
-    "log": np.log, "linear": lambda sizes: sizes, "n log n": lambda sizes: sizes * np.log(sizes)}
+    "log": np.log,
+    "linear": lambda sizes: sizes,
+    "n log n": lambda sizes: sizes * np.log(sizes),
+}
 
 
 def fit(points: Sequence[Point]) -> dict[str, Any]:
@@ -65,8 +68,16 @@
     by_size: dict[float, list[float]] = {}
     for size, cost in points:
         by_size.setdefault(size, []).append(cost)
-    return [{"at": size, "repeats": len(costs), "min": min(costs), "median": statistics.median(costs),
-             "max": max(costs)} for size, costs in sorted(by_size.items())]
+    return [
+        {
+            "at": size,
+            "repeats": len(costs),
+            "min": min(costs),
+            "median": statistics.median(costs),
+            "max": max(costs),
+        }
+        for size, costs in sorted(by_size.items())
+    ]
 
 
 def predict(fitted: dict[str, Any], size: float) -> float | None:
@@ -87,9 +98,15 @@
     """
     largest = max((row["at"] for row in fitted["spread"]), default=0.0)
     trial = fitted.get("trial")
-    return {"value": predict(fitted, size), "form": fitted["form"], "at": size, "largest": largest,
-            "times": size / largest if largest else None, "residual": fitted.get("residual"),
-            "trial_error": trial["error"] if trial else None}
+    return {
+        "value": predict(fitted, size),
+        "form": fitted["form"],
+        "at": size,
+        "largest": largest,
+        "times": size / largest if largest else None,
+        "residual": fitted.get("residual"),
+        "trial_error": trial["error"] if trial else None,
+    }
 
 
 def foretells(fitted: dict[str, Any]) -> bool:
@@ -109,8 +126,10 @@
     best = _solved(FORMS[0], None, points, weights)
     for form in FORMS[1:]:
         if form == "worse":
-            found = min((_solved(form, power, points, weights) for power in POWERS),
-                        key=lambda found: found["residual"])
+            found = min(
+                (_solved(form, power, points, weights) for power in POWERS),
+                key=lambda found: found["residual"],
+            )
         else:
             found = _solved(form, None, points, weights)
         if _better(found, best, len(points)):
@@ -146,12 +165,15 @@
     costs = np.array([cost for _, cost in points])
     ones = np.ones_like(sizes)
     matrix = np.stack([ones] if form == "constant" else [ones, _term(form, power, sizes)], axis=1)
-    reach = np.abs(matrix).max(axis=0)              # columns of one order, or the solver drops the small one
+    reach = np.abs(matrix).max(axis=0)  # columns of one order, or the solver drops the small one
     reach[reach == 0.0] = 1.0
     solved = np.linalg.lstsq(matrix / reach * weights[:, None], costs * weights, rcond=None)[0] / reach
     left = (matrix @ solved - costs) * weights
-    found: dict[str, Any] = {"form": form, "constant": float(solved[0]),
-                             "residual": float(np.sqrt(np.mean(left ** 2)))}
+    found: dict[str, Any] = {
+        "form": form,
+        "constant": float(solved[0]),
+        "residual": float(np.sqrt(np.mean(left**2))),
+    }
     if form != "constant":
         found["slope"] = float(solved[1])
     if power is not None:
@@ -160,7 +182,7 @@
 
 
 def _term(form: str, power: float | None, sizes: np.ndarray) -> np.ndarray:
-    return sizes ** power if form == "worse" else _TERMS[form](sizes)
+    return sizes**power if form == "worse" else _TERMS[form](sizes)
 
 
 def _scales(points: Sequence[Point]) -> np.ndarray:
@@ -183,5 +205,10 @@
     predicted = predict(found, largest)
     assert predicted is not None
     measured = statistics.median(cost for size, cost in points if size == largest)
-    return {"at": largest, "form": found["form"], "predicted": predicted, "measured": measured,
-            "error": predicted / measured - 1 if measured else None}
+    return {
+        "at": largest,
+        "form": found["form"],
+        "predicted": predicted,
+        "measured": measured,
+        "error": predicted / measured - 1 if measured else None,
+    }
--- a/calicomast/lab/scale/hollow.py
+++ b/calicomast/lab/scale/hollow.py
@@ -85,8 +85,19 @@
     def __init__(self, crowd: Crowd, number: int) -> None:
         self.version, self.at, self.failures, self.hosts = 0, 0.0, 0, 0
         zone = crowd.zones[number % len(crowd.zones)]
-        self.discovery = Replicas(read_address(crowd.service), (), None, f"hollow-{number}", None, self.told,
-                                  self.failed, crowd.gateways, number, None, viewing(crowd, number, zone))
+        self.discovery = Replicas(
+            read_address(crowd.service),
+            (),
+            None,
+            f"hollow-{number}",
+            None,
+            self.told,
+            self.failed,
+            crowd.gateways,
+            number,
+            None,
+            viewing(crowd, number, zone),
+        )
         self.counted = self.discovery.fetcher = Counted()
 
     def told(self, listing: Listing) -> None:
@@ -102,10 +113,19 @@
 
     def counts(self) -> dict[str, float]:
         counted = self.counted
-        return {"out": counted.out, "back": counted.back, "calls": counted.calls,
-                "news_back": counted.back - counted.idle_back, "news": counted.calls - counted.idle,
-                "news_body": counted.body, "entries": counted.entries, "version": self.version,
-                "at": self.at, "failures": self.failures, "hosts": self.hosts}
+        return {
+            "out": counted.out,
+            "back": counted.back,
+            "calls": counted.calls,
+            "news_back": counted.back - counted.idle_back,
+            "news": counted.calls - counted.idle,
+            "news_body": counted.body,
+            "entries": counted.entries,
+            "version": self.version,
+            "at": self.at,
+            "failures": self.failures,
+            "hosts": self.hosts,
+        }
 
 
 def viewing(crowd: Crowd, number: int, zone: str) -> Any:
@@ -121,10 +141,18 @@
 
     def __init__(self, crowd: Crowd, number: int, folder: Path) -> None:
         assert crowd.tree is not None
-        settings = crowd.tree["settings"] | {"index": number, "group_size": crowd.gateways,
-                                             "locality": crowd.zones[number % len(crowd.zones)]}
-        tree = crowd.tree | {"name": f"hollow-{number}", "settings": settings, "seed": f"{number + 1:x}",
-                             "discovery": crowd.service, "control": "127.0.0.1:0"}
+        settings = crowd.tree["settings"] | {
+            "index": number,
+            "group_size": crowd.gateways,
+            "locality": crowd.zones[number % len(crowd.zones)],
+        }
+        tree = crowd.tree | {
+            "name": f"hollow-{number}",
+            "settings": settings,
+            "seed": f"{number + 1:x}",
+            "discovery": crowd.service,
+            "control": "127.0.0.1:0",
+        }
         scratch = folder / str(number)
         scratch.mkdir()
         super().__init__(build(tree, {"TMPDIR": str(scratch)}))
@@ -141,8 +169,12 @@
         self.version, self.at = listing.hosts.version, time.monotonic()
 
     def counts(self) -> dict[str, float]:
-        return {"version": self.version, "at": self.at, "failures": self.discovery.backoff.fails,
-                "hosts": len(self.known)}
+        return {
+            "version": self.version,
+            "at": self.at,
+            "failures": self.discovery.backoff.fails,
+            "hosts": len(self.known),
+        }
 
 
 async def serve(crowd: Crowd, folder: Path) -> None:
--- a/calicomast/lab/scale/latency.py
+++ b/calicomast/lab/scale/latency.py
@@ -50,8 +50,10 @@
 
 # What a part of the page is the sum of, in parts of `joined`; each other part is one of its own.
 GROUPS: dict[str, tuple[str, ...]] = {
-    "loop": ("arrive", "to_host", "from_host", "back"), "sockets": ("read", "send", "answer"),
-    "connection": ("settle", "connect")}
+    "loop": ("arrive", "to_host", "from_host", "back"),
+    "sockets": ("read", "send", "answer"),
+    "connection": ("settle", "connect"),
+}
 
 
 @dataclass(slots=True)
@@ -140,8 +142,17 @@
     def ask(self, line: Line) -> None:
         asked = Asked(f"{self.seed:x}-{id(self):x}-{self.number}-{len(self.asked)}", 0.0)
         self.asked.append(asked)
-        line.ask(asked, encode([b"API.READ", b"%016x" % self.rng.randrange(CUSTOMERS), asked.name.encode(),
-                                b"c=reading,t=open,d=3000,units=1,spread=1,first=0"]))
+        line.ask(
+            asked,
+            encode(
+                [
+                    b"API.READ",
+                    b"%016x" % self.rng.randrange(CUSTOMERS),
+                    asked.name.encode(),
+                    b"c=reading,t=open,d=3000,units=1,spread=1,first=0",
+                ]
+            ),
+        )
 
     def answered(self, line: Line) -> None:
         self.open -= 1
@@ -160,8 +171,9 @@
             at += gaps.expovariate(self.rate)
 
     async def run(self, seconds: float) -> None:
-        thread = threading.Thread(target=self.pace, args=(seconds, random.Random(self.rng.random())),
-                                  daemon=True)
+        thread = threading.Thread(
+            target=self.pace, args=(seconds, random.Random(self.rng.random())), daemon=True
+        )
         thread.start()
         while thread.is_alive():
             await asyncio.sleep(0.05)
@@ -191,8 +203,9 @@
     return times.get_value_at_percentile(part) / 1000
 
 
-async def added(hosts: int, view: int, rate: float, seconds: float, seed: int,
-                edge: bool = False) -> tuple[dict[str, float], list[str]]:
+async def added(
+    hosts: int, view: int, rate: float, seconds: float, seed: int, edge: bool = False
+) -> tuple[dict[str, float], list[str]]:
     """The figures, and what disturbed them. `view`: hosts that a gateway is told of; 0: all. `edge`: clients
     have their commands taken in turns."""
     gateways = max(2, round(hosts * GATEWAYS / HOSTS))
@@ -219,17 +232,23 @@
     return tree | {"settings": tree["settings"] | {"plans": [PLAN]}}
 
 
-async def beside(rig: Rig, relay: Part, rate: float, seconds: float,
-                 seed: int) -> tuple[dict[str, float], list[str]]:
+async def beside(
+    rig: Rig, relay: Part, rate: float, seconds: float, seed: int
+) -> tuple[dict[str, float], list[str]]:
     """Each alone: the relay for half of its time, the gateway, the stamped gateway, the relay again."""
     plain, stamped = rig.real
     assert relay.process is not None
     at, number = relay.places["listen"], relay.process.pid
     figures, loads = dict[str, float](), dict[str, list[Load]]()
     cpu, asked = dict[str, float](), dict[str, int]()
-    for turn, (name, place, pid, part) in enumerate((
-            ("relay", at, number, 0.5), ("gateway", plain.part.places["listen"], plain.number, 1.0),
-            ("stamped", stamped.part.places["listen"], stamped.number, 1.0), ("relay", at, number, 0.5))):
+    for turn, (name, place, pid, part) in enumerate(
+        (
+            ("relay", at, number, 0.5),
+            ("gateway", plain.part.places["listen"], plain.number, 1.0),
+            ("stamped", stamped.part.places["listen"], stamped.number, 1.0),
+            ("relay", at, number, 0.5),
+        )
+    ):
         load, before = Load(place, rate, seed + 1000 * (turn > 2)), machine.cpu_ms(pid)
         await load.measured(part * seconds, WARM_RELAY if name == "relay" else WARM)
         cpu[name] = cpu.get(name, 0.0) + machine.cpu_ms(pid) - before
@@ -239,10 +258,14 @@
         figures |= told(name, [one for load in some for one in load.asked])
         figures[f"{name}_cpu_ms_a_request"] = cpu[name] / asked[name]
     for name, label in (("gateway", "added"), ("stamped", "stamped_added")):
-        figures |= {f"{label}_p{part:g}_ms": figures[f"{name}_outside_p{part:g}_ms"]
-                    - figures[f"relay_outside_p{part:g}_ms"] for part in PERCENTILES}
-    figures["hosts_p99_ms"] = percentile((one.went - one.came for load in loads["relay"]
-                                          for one in load.asked if one.served), 99)
+        figures |= {
+            f"{label}_p{part:g}_ms": figures[f"{name}_outside_p{part:g}_ms"]
+            - figures[f"relay_outside_p{part:g}_ms"]
+            for part in PERCENTILES
+        }
+    figures["hosts_p99_ms"] = percentile(
+        (one.went - one.came for load in loads["relay"] for one in load.asked if one.served), 99
+    )
     figures["load_late_p99_ms"] = max(percentile(load.late, 99) for some in loads.values() for load in some)
     figures["rss_mb"] = machine.resident_mb(plain.number)
     figures["counts_a_request"] = plain.counts.calls / max(1, asked["gateway"])
@@ -270,8 +293,10 @@
 def disturbed(figures: dict[str, float]) -> list[str]:
     """Why the figures are not the gateway's: what is about the relay or the load alone says it."""
     most, found = 1000 * WORK * RELAY_MOST, list[str]()
-    for name, what in (("relay_outside_p99_ms", "the bare relay took outside of its hosts"),
-                       ("load_late_p99_ms", "the load was late by")):
+    for name, what in (
+        ("relay_outside_p99_ms", "the bare relay took outside of its hosts"),
+        ("load_late_p99_ms", "the load was late by"),
+    ):
         if figures[name] > most:
             found.append(f"disturbed: {what} {figures[name]:.1f} ms for 99 in 100, {most:g} are the most")
     if figures["relay_not_served"] > 0:
@@ -286,22 +311,31 @@
     """The parts of a request, s; they sum to its whole. Those of the gateway, and between processes: the wait
     of what was written until its reader turns to it, which is the kernel and the reader's loop."""
     spent = {name: value for name, value in trace["spent"].items() if name != "host"}
-    return {"arrive": trace["began"] - asked.written, **spent, "to_host": asked.came - trace["written"],
-            "work": asked.went - asked.came, "from_host": trace["heard"] - asked.went,
-            "back": asked.read - trace["ended"]}
+    return {
+        "arrive": trace["began"] - asked.written,
+        **spent,
+        "to_host": asked.came - trace["written"],
+        "work": asked.went - asked.came,
+        "from_host": trace["heard"] - asked.went,
+        "back": asked.read - trace["ended"],
+    }
 
 
 def by_part(asked: list[Asked], traces: dict[str, Json]) -> dict[str, float]:
     """Of what is spent outside of the hosts: the 99th percentile of each part alone, its mean, and its mean
     among the slowest requests, which sums over the parts."""
-    rows = [(one.outside, joined(one, traces[one.name])) for one in asked
-            if one.served and one.name in traces]
+    rows = [
+        (one.outside, joined(one, traces[one.name])) for one in asked if one.served and one.name in traces
+    ]
     if not rows:
         return {}
     rows.sort(key=lambda row: row[0])
-    slow = rows[-max(1, math.ceil(SLOWEST * len(rows))):]
-    figures = {"slow_all_ms": mean(outside for outside, _ in slow), "slow_requests": float(len(slow)),
-               "mean_all_ms": mean(outside for outside, _ in rows)}
+    slow = rows[-max(1, math.ceil(SLOWEST * len(rows))) :]
+    figures = {
+        "slow_all_ms": mean(outside for outside, _ in slow),
+        "slow_requests": float(len(slow)),
+        "mean_all_ms": mean(outside for outside, _ in rows),
+    }
     for name, members in itertools.chain(singles(rows[0][1]), GROUPS.items()):
         figures[f"part_{name}_p99_ms"] = percentile((of(row, members) for _, row in rows), 99)
         figures[f"mean_{name}_ms"] = mean(of(row, members) for _, row in rows)
@@ -329,6 +363,8 @@
         return {}
     began, ended = asked[0].written, max(one.read for one in asked)
     within = [(length, generation) for at, length, generation in pauses if began <= at <= ended]
-    return {"pauses_s": sum(length for length, _ in within) / (ended - began),
-            "pause_longest_ms": 1000 * max((length for length, _ in within), default=0.0),
-            "pauses_full": float(sum(generation == 2 for _, generation in within))}
+    return {
+        "pauses_s": sum(length for length, _ in within) / (ended - began),
+        "pause_longest_ms": 1000 * max((length for length, _ in within), default=0.0),
+        "pauses_full": float(sum(generation == 2 for _, generation in within)),
+    }
--- a/calicomast/lab/scale/leases.py
+++ b/calicomast/lab/scale/leases.py
@@ -25,8 +25,11 @@
 
 def estimate(requests: int, seconds: float) -> machine.Estimate:
     gateways = max(1, requests // RATE)
-    return machine.Estimate(300.0 + 60.0 * (gateways / EACH + 1) + gateways * 0.5, 4 + gateways // EACH,
-                            30.0 + SETTLE + seconds + gateways / 10)
+    return machine.Estimate(
+        300.0 + 60.0 * (gateways / EACH + 1) + gateways * 0.5,
+        4 + gateways // EACH,
+        30.0 + SETTLE + seconds + gateways / 10,
+    )
 
 
 async def leased(requests: int, seconds: float) -> dict[str, float]:
@@ -42,9 +45,13 @@
         wire, made = Wire(place), list[Hollow]()
         empty = machine.resident_mb(number)
         try:
-            made = [lessees(folder, 0, 1, await wire.open()), *(
-                lessees(folder, first, min(EACH, gateways - first), place)
-                for first in range(1, gateways, EACH))]
+            made = [
+                lessees(folder, 0, 1, await wire.open()),
+                *(
+                    lessees(folder, first, min(EACH, gateways - first), place)
+                    for first in range(1, gateways, EACH)
+                ),
+            ]
             await asyncio.gather(*(one.start() for one in made))
             await asyncio.sleep(SETTLE)
             before, counts, cpu = await each(made), wire.counts(), machine.cpu_ms(number)
@@ -52,15 +59,24 @@
             await asyncio.sleep(seconds)
             cpu, took = machine.cpu_ms(number) - cpu, time.monotonic() - began
             after, counts_after = await each(made), wire.counts()
-            sent, answered, failed = (sum(b[name] - a[name] for a, b in zip(before, after, strict=True))
-                                      for name in ("sent", "answered", "failed"))
+            sent, answered, failed = (
+                sum(b[name] - a[name] for a, b in zip(before, after, strict=True))
+                for name in ("sent", "answered", "failed")
+            )
             out, back, calls = (b - a for a, b in zip(counts, counts_after, strict=True))
-            return {"cpu_share": cpu / took / 1000, "rss_mb": machine.resident_mb(number),
-                    "rss_empty_mb": empty, "messages_s": sent / took,
-                    "calls_a_request": sent / took / (gateways * RATE), "cpu_ms_a_message": cpu / sent,
-                    "bytes_in_s": out / calls * sent / took, "bytes_out_s": back / calls * sent / took,
-                    "answered_share": answered / sent, "failures": failed,
-                    "connections": float(sum(one["lines"] for one in after))}
+            return {
+                "cpu_share": cpu / took / 1000,
+                "rss_mb": machine.resident_mb(number),
+                "rss_empty_mb": empty,
+                "messages_s": sent / took,
+                "calls_a_request": sent / took / (gateways * RATE),
+                "cpu_ms_a_message": cpu / sent,
+                "bytes_in_s": out / calls * sent / took,
+                "bytes_out_s": back / calls * sent / took,
+                "answered_share": answered / sent,
+                "failures": failed,
+                "connections": float(sum(one["lines"] for one in after)),
+            }
         finally:
             await asyncio.gather(*(one.stop() for one in made))
             await counter.stop()
--- a/calicomast/lab/scale/lessees.py
+++ b/calicomast/lab/scale/lessees.py
@@ -83,8 +83,12 @@
         self.failed += result not in ("ok", "late")
 
     def counts(self) -> dict[str, float]:
-        return {"sent": self.sent, "answered": self.answered, "failed": self.failed,
-                "lines": len(self.counter.lines)}
+        return {
+            "sent": self.sent,
+            "answered": self.answered,
+            "failed": self.failed,
+            "lines": len(self.counter.lines),
+        }
 
 
 def rush(customers: int, seed: int = 1) -> dict[str, float]:
@@ -104,11 +108,15 @@
         driver.ask("request", CUSTOMERS + number % customers)
     driver.steps(began + RUSH - driver.now)
     calls, made = by_second(driver.calls), len(driver.spent["request"]) - asked_before
-    return {"calls_s": sum(usual.values()) / RUSH, "calls_s_most": float(max(calls.values(), default=0)),
-            "calls_a_request": sum(calls.values()) / made, "requests_s": made / RUSH,
-            "calls_a_new_customer": (sum(calls.values()) - sum(usual.values())) / customers,
-            "accounts": float(len(driver.gateway.accounts)),
-            "accounts_new": float(len(driver.gateway.accounts) - known)}
+    return {
+        "calls_s": sum(usual.values()) / RUSH,
+        "calls_s_most": float(max(calls.values(), default=0)),
+        "calls_a_request": sum(calls.values()) / made,
+        "requests_s": made / RUSH,
+        "calls_a_new_customer": (sum(calls.values()) - sum(usual.values())) / customers,
+        "accounts": float(len(driver.gateway.accounts)),
+        "accounts_new": float(len(driver.gateway.accounts) - known),
+    }
 
 
 def by_second(calls: list[Call]) -> Counts[int]:
--- a/calicomast/lab/scale/machine.py
+++ b/calicomast/lab/scale/machine.py
@@ -37,9 +37,11 @@
 
     def check(self) -> None:
         """Raises OutOfBounds, before anything is started."""
-        for what, value, most in (("MB of memory", self.mb, MOST_MB),
-                                  ("processes", self.processes, MOST_PROCESSES),
-                                  ("seconds", self.seconds, MOST_SECONDS)):
+        for what, value, most in (
+            ("MB of memory", self.mb, MOST_MB),
+            ("processes", self.processes, MOST_PROCESSES),
+            ("seconds", self.seconds, MOST_SECONDS),
+        ):
             if value > most:
                 raise OutOfBounds(f"about {value:.0f} {what} are needed, {most:.0f} are the most")
 
@@ -62,8 +64,12 @@
 
 def machine() -> dict[str, Any]:
     """What may be said of it without naming it."""
-    return {"cpus": os.cpu_count(), "model": model(), "memory_mb": memory_mb(),
-            "python": ".".join(str(part) for part in sys.version_info[:3])}
+    return {
+        "cpus": os.cpu_count(),
+        "model": model(),
+        "memory_mb": memory_mb(),
+        "python": ".".join(str(part) for part in sys.version_info[:3]),
+    }
 
 
 def model() -> str:
@@ -79,9 +85,14 @@
 def build(tree: Path) -> str:
     """The last commit of a work tree that changed what is measured, which the lab itself is not; "-dirty"
     where that has changed since."""
+
     def git(*args: str) -> str:
-        return subprocess.run(["git", "-C", str(tree), *args, "--", "calicomast", "deploy",
-                               ":!calicomast/lab"], capture_output=True, text=True, check=True).stdout.strip()
+        return subprocess.run(
+            ["git", "-C", str(tree), *args, "--", "calicomast", "deploy", ":!calicomast/lab"],
+            capture_output=True,
+            text=True,
+            check=True,
+        ).stdout.strip()
 
     changed = git("status", "--porcelain", "--untracked-files=no")
     return git("log", "-1", "--format=%h", "--abbrev=12") + ("-dirty" if changed else "")
@@ -98,12 +109,17 @@
 
 def cpu_ms(number: int) -> float:
     """The same by the scheduler's own clock, in ms: finer than ticks; of the threads that are there."""
-    return sum(int((task / "schedstat").read_text().split()[0])
-               for task in Path(f"/proc/{number}/task").iterdir()) / 1e6
+    return (
+        sum(
+            int((task / "schedstat").read_text().split()[0])
+            for task in Path(f"/proc/{number}/task").iterdir()
+        )
+        / 1e6
+    )
 
 
 def resident_mb(number: int) -> float:
-    return int(Path(f"/proc/{number}/statm").read_text().split()[1]) * PAGE / 2 ** 20
+    return int(Path(f"/proc/{number}/statm").read_text().split()[1]) * PAGE / 2**20
 
 
 def family(number: int) -> list[int]:
@@ -112,8 +128,11 @@
     while pending:
         at = pending.pop()
         try:
-            children = [int(child) for task in Path(f"/proc/{at}/task").iterdir()
-                        for child in (task / "children").read_text().split()]
+            children = [
+                int(child)
+                for task in Path(f"/proc/{at}/task").iterdir()
+                for child in (task / "children").read_text().split()
+            ]
         except (FileNotFoundError, ProcessLookupError):
             continue
         found.append(at)
--- a/calicomast/lab/scale/module.py
+++ b/calicomast/lab/scale/module.py
@@ -49,26 +49,46 @@
 
 
 def settings(case: Case) -> api.Settings:
-    classes = {f"c{n}": api.ServiceClass(f"c{n}", 1.0, 3.0, KINDS[n % 3], "all", 15.0 * (n % 3 == 1),
-                                         1.0 + n % 5, 0.0, False, 0.0) for n in range(case.classes)}
-    plans = {f"p{n}": api.Plan(f"p{n}", 10.0, 40.0, 0, 1.0, 0.0, 0.5, 0.0, 0.0, 0.0)
-             for n in range(case.plans)}
+    classes = {
+        f"c{n}": api.ServiceClass(
+            f"c{n}", 1.0, 3.0, KINDS[n % 3], "all", 15.0 * (n % 3 == 1), 1.0 + n % 5, 0.0, False, 0.0
+        )
+        for n in range(case.classes)
+    }
+    plans = {
+        f"p{n}": api.Plan(f"p{n}", 10.0, 40.0, 0, 1.0, 0.0, 0.5, 0.0, 0.0, 0.0) for n in range(case.plans)
+    }
     return api.Settings(
-        index=min(1234, case.gateways - 1), gateways=case.gateways, zone="z1", classes=classes, plans=plans,
+        index=min(1234, case.gateways - 1),
+        gateways=case.gateways,
+        zone="z1",
+        classes=classes,
+        plans=plans,
         limits=api.Limits(True, False, True, False, True, 3, 2.0),
-        rules=api.Rules(0.008, 1.0, 0.2, 1.0, 2.0, 1.0, 0.0), prices={"cross_zone": 0.005}, counter=True,
-        counter_price=0.01, counter_timeout=0.08, meter_period=0.0, settles=False, most_units=1.0,
-        discovery="push", reports=("inflight",), weights="none")
+        rules=api.Rules(0.008, 1.0, 0.2, 1.0, 2.0, 1.0, 0.0),
+        prices={"cross_zone": 0.005},
+        counter=True,
+        counter_price=0.01,
+        counter_timeout=0.08,
+        meter_period=0.0,
+        settles=False,
+        most_units=1.0,
+        discovery="push",
+        reports=("inflight",),
+        weights="none",
+    )
 
 
 def hosts_of(case: Case) -> list[api.Host]:
     """Those that the gateway is told of: all, or the ones that follow its place on the ring."""
-    every = [api.Host(f"h{n}", f"z{n % 3 + 1}", n % case.cells, 1.0, f"k{n % case.kinds}", "up", 0.0)
-             for n in range(case.hosts)]
+    every = [
+        api.Host(f"h{n}", f"z{n % 3 + 1}", n % case.cells, 1.0, f"k{n % case.kinds}", "up", 0.0)
+        for n in range(case.hosts)
+    ]
     if not case.view:
         return every
-    place = int((settings(case).index * GOLDEN) % 1.0 * 2 ** 63)
-    return sorted(every, key=lambda h: (stable_hash(h.id, "place") - place) % 2 ** 63)[:case.view]
+    place = int((settings(case).index * GOLDEN) % 1.0 * 2**63)
+    return sorted(every, key=lambda h: (stable_hash(h.id, "place") - place) % 2**63)[: case.view]
 
 
 class Driver:
@@ -100,8 +120,11 @@
             case api.Send():
                 number, took = self.tries.get(action.id, 0), 0.004 + 0.008 * self.rng.random()
                 self.tries[action.id], self.sent = number + 1, self.sent + 1
-                self.put(took, "outcome", api.Outcome(action.id, number, action.host, "ok", took, True,
-                                                      report={"inflight": 1.0}))
+                self.put(
+                    took,
+                    "outcome",
+                    api.Outcome(action.id, number, action.host, "ok", took, True, report={"inflight": 1.0}),
+                )
             case api.Count():
                 self.counts += 1
                 self.put(0.002, "counted", api.Counted(action.name, "ok", max(0.0, action.amount), 0.002))
@@ -125,15 +148,28 @@
 
     def ask(self, kind: str, customer: int) -> None:
         cls, plan = self.rng.randrange(self.case.classes), customer % self.case.plans
-        self.handle(kind, api.Request(f"r{next(self.number)}", 3.0, f"c{customer}", f"p{plan}", f"c{cls}",
-                                      1.0, customer % (self.case.gateways - SPREAD), SPREAD))
+        self.handle(
+            kind,
+            api.Request(
+                f"r{next(self.number)}",
+                3.0,
+                f"c{customer}",
+                f"p{plan}",
+                f"c{cls}",
+                1.0,
+                customer % (self.case.gateways - SPREAD),
+                SPREAD,
+            ),
+        )
 
     def change(self) -> None:
         """So many hosts go down, or start again."""
         self.version += 1
         state, started = ("down", 0.0) if self.version % 2 else ("up", self.now)
-        hosts = tuple(api.Host(old.id, old.zone, old.cell, 1.0, old.kind, state, started)
-                      for old in self.rng.sample(self.listed, min(self.case.changes, len(self.listed))))
+        hosts = tuple(
+            api.Host(old.id, old.zone, old.cell, 1.0, old.kind, state, started)
+            for old in self.rng.sample(self.listed, min(self.case.changes, len(self.listed)))
+        )
         self.handle("change", api.HostList("delta", self.version, hosts, **self.more))
 
     def steps(self, seconds: float, changes: bool = False) -> None:
@@ -176,10 +212,15 @@
     told = {"sends_a_request": driver.sent / asked, "counts_a_request": driver.counts / asked}
     driver.spent = {}
     driver.steps(case.seconds, True)
-    return {"cpu_ms_a_request": sum(sum(times) for times in usual.values()) / asked / 1e6,
-            "cpu_ms_a_change": mean_ms(driver.spent["change"]),
-            "cpu_ms_after_change": mean_ms(driver.spent["after"]), "cpu_ms_whole_list": listed,
-            **told, "known": float(len(driver.gateway.fleet.servers)), "widened": float(driver.widened)}
+    return {
+        "cpu_ms_a_request": sum(sum(times) for times in usual.values()) / asked / 1e6,
+        "cpu_ms_a_change": mean_ms(driver.spent["change"]),
+        "cpu_ms_after_change": mean_ms(driver.spent["after"]),
+        "cpu_ms_whole_list": listed,
+        **told,
+        "known": float(len(driver.gateway.fleet.servers)),
+        "widened": float(driver.widened),
+    }
 
 
 def kept(case: Case) -> dict[str, float]:
--- a/calicomast/lab/scale/parts.py
+++ b/calicomast/lab/scale/parts.py
@@ -40,9 +40,14 @@
         super().send(sends)
 
     def counts(self) -> dict[str, float]:
-        return {"sent": self.sent, "out": self.out, "got": self.got, "back": self.back,
-                "rumours": len(self.swim.rumours),
-                "known": sum(member.state == "alive" for member in self.swim.members.values())}
+        return {
+            "sent": self.sent,
+            "out": self.out,
+            "got": self.got,
+            "back": self.back,
+            "rumours": len(self.swim.rumours),
+            "known": sum(member.state == "alive" for member in self.swim.members.values()),
+        }
 
 
 class Holder:
@@ -56,8 +61,11 @@
 
     def counts(self) -> dict[str, float]:
         holder = self.client.holder
-        return {"sent": holder.seq, "failures": self.client.failures,
-                "granted": sum(holder.may(self.client.clock(), name) > 0 for name in holder.parts)}
+        return {
+            "sent": holder.seq,
+            "failures": self.client.failures,
+            "granted": sum(holder.may(self.client.clock(), name) > 0 for name in holder.parts),
+        }
 
 
 async def serve(told: dict[str, Any], folder: Path) -> None:
--- a/calicomast/lab/scale/plots.py
+++ b/calicomast/lab/scale/plots.py
@@ -18,12 +18,36 @@
 LEAST_SIZES = 2  # sizes of which a plot is made
 WIDE = 20.0  # times the least cost, past which costs stand on a logarithmic scale
 MOST_FIGURES = 4  # plots side by side of one run
-SHOWN = ("cpu_ms_a_request", "cpu_ms_a_change", "cpu_ms_after_change", "added_p99_ms", "added_p50_ms",
-         "gateway_cpu_ms_a_request", "cpu_share", "cpu_share_rest", "rss_mb", "kept_mb", "last_ms", "ready_s",
-         "bytes_a_gateway_most", "bytes_in_s_most", "service_bytes_out_s_most", "messages_a_gateway",
-         "bytes_a_change_gateway", "bytes_in_s", "bytes_out_s", "messages_s")  # in this order
-AXES = {"hosts": "hosts", "gateways": "gateways", "customers": "tenants", "plans": "routes",
-        "classes": "routes", "view": "view_hosts"}  # whose size at the target is which of its figures
+SHOWN = (
+    "cpu_ms_a_request",
+    "cpu_ms_a_change",
+    "cpu_ms_after_change",
+    "added_p99_ms",
+    "added_p50_ms",
+    "gateway_cpu_ms_a_request",
+    "cpu_share",
+    "cpu_share_rest",
+    "rss_mb",
+    "kept_mb",
+    "last_ms",
+    "ready_s",
+    "bytes_a_gateway_most",
+    "bytes_in_s_most",
+    "service_bytes_out_s_most",
+    "messages_a_gateway",
+    "bytes_a_change_gateway",
+    "bytes_in_s",
+    "bytes_out_s",
+    "messages_s",
+)  # in this order
+AXES = {
+    "hosts": "hosts",
+    "gateways": "gateways",
+    "customers": "tenants",
+    "plans": "routes",
+    "classes": "routes",
+    "view": "view_hosts",
+}  # whose size at the target is which of its figures
 
 
 def main(argv: list[str]) -> int:
@@ -67,6 +91,7 @@
 
 def plot(run: Run, target: float | None, path: Path) -> None:
     import matplotlib
+
     matplotlib.use("Agg")
     from matplotlib import pyplot
 
@@ -83,8 +108,14 @@
 
 def digest(run: Run, target: float | None) -> str:
     """Of what a plot shows, so that one of other points is found out."""
-    told = [run.name, run.variant, run.build, target, [(point.at, point.figures) for point in run.points],
-            {name: reach(cells.points(run, name), target) for name in figures(run)}]
+    told = [
+        run.name,
+        run.variant,
+        run.build,
+        target,
+        [(point.at, point.figures) for point in run.points],
+        {name: reach(cells.points(run, name), target) for name in figures(run)},
+    ]
     return hashlib.sha256(json.dumps(told, sort_keys=True).encode()).hexdigest()[:16]
 
 
--- a/calicomast/lab/scale/processes.py
+++ b/calicomast/lab/scale/processes.py
@@ -24,9 +24,19 @@
 
 def foretell(gateways: int, hosts: int, view: int, seconds: float | None) -> dict[str, Any]:
     """The same in virtual time, as events.in_processes tells it. Raises OutOfBounds."""
-    return program(["-m", "calicomast.lab.scale.events", "processes"], ROOT, {
-        "event": "rack", "gateways": gateways, "hosts": hosts, "zones": len(ZONES), "view": view,
-        "names": ZONES, "after": seconds})
+    return program(
+        ["-m", "calicomast.lab.scale.events", "processes"],
+        ROOT,
+        {
+            "event": "rack",
+            "gateways": gateways,
+            "hosts": hosts,
+            "zones": len(ZONES),
+            "view": view,
+            "names": ZONES,
+            "after": seconds,
+        },
+    )
 
 
 def estimate(gateways: int, hosts: int) -> machine.Estimate:
@@ -39,8 +49,9 @@
     await asyncio.gather(*(rig.put(number, rig.changed + 1, ttl_ms) for number in numbers))
 
 
-async def rack(gateways: int, hosts: int, view: int,
-               seconds: float | None = None) -> tuple[dict[str, float], dict[str, Off]]:
+async def rack(
+    gateways: int, hosts: int, view: int, seconds: float | None = None
+) -> tuple[dict[str, float], dict[str, Off]]:
     """What a gateway is told of a rack that goes within some seconds after it lapsed, or until its hosts are
     removed, and how far the same in virtual time is off."""
     told = foretell(gateways, hosts, view, seconds)
@@ -55,8 +66,17 @@
             before = await now.lights()
             await asyncio.sleep(SHORT + waits + SETTLE)
             after = await now.lights()
-    figures = {name: sum(b[key] - a[key] for a, b in zip(before, after, strict=True)) / gateways
-               for name, key in zip(FIGURES, ("news", "news_body", "entries"), strict=True)}
-    compared = {name: Off(figures[name], foretold[name], off(figures[name], foretold[name]),
-                          "virtual time" if name == "entries_a_gateway" else SPLIT) for name in FIGURES}
+    figures = {
+        name: sum(b[key] - a[key] for a, b in zip(before, after, strict=True)) / gateways
+        for name, key in zip(FIGURES, ("news", "news_body", "entries"), strict=True)
+    }
+    compared = {
+        name: Off(
+            figures[name],
+            foretold[name],
+            off(figures[name], foretold[name]),
+            "virtual time" if name == "entries_a_gateway" else SPLIT,
+        )
+        for name in FIGURES
+    }
     return figures, compared
--- a/calicomast/lab/scale/programs.py
+++ b/calicomast/lab/scale/programs.py
@@ -17,9 +17,15 @@
     """What a program of the lab prints in JSON, mostly figures, by the build of a tree. It ends with this
     process. Raises OutOfBounds."""
     env = {**os.environ, "PYTHONPATH": str(tree)}
-    done = subprocess.run([sys.executable, "-B", *command, json.dumps(told)], env=env, cwd=tree, text=True,
-                          capture_output=True, timeout=machine.MOST_SECONDS,
-                          preexec_fn=die_with(os.getpid(), False))
+    done = subprocess.run(
+        [sys.executable, "-B", *command, json.dumps(told)],
+        env=env,
+        cwd=tree,
+        text=True,
+        capture_output=True,
+        timeout=machine.MOST_SECONDS,
+        preexec_fn=die_with(os.getpid(), False),
+    )
     if done.returncode:
         raise machine.OutOfBounds(done.stderr.strip().splitlines()[-1])
     return json.loads(done.stdout)
--- a/calicomast/lab/scale/rest.py
+++ b/calicomast/lab/scale/rest.py
@@ -16,8 +16,9 @@
 PACE = 4.0  # changes a second, as a rollout of 3 to 6; a change's figures are above those at rest
 
 
-async def rest(hosts: int, view: int, seconds: float, number: int = 1234,
-               tree: Path = ROOT) -> dict[str, float]:
+async def rest(
+    hosts: int, view: int, seconds: float, number: int = 1234, tree: Path = ROOT
+) -> dict[str, float]:
     more = {"view": {"size": view}} if view else {}
     with tempfile.TemporaryDirectory(prefix="scale-") as folder:
         async with Rig(Path(folder), hosts, more=more, tree=tree) as rig:
@@ -27,8 +28,9 @@
             start = real.lists.counts()
             figures = {"ready_s": ready, "start_bytes_in": float(start[1])}
             at_rest = await spent(real, asyncio.sleep(seconds), seconds)
-            figures |= {f"{name}_s": at_rest[name] / seconds
-                        for name in ("bytes_in", "bytes_out", "messages")}
+            figures |= {
+                f"{name}_s": at_rest[name] / seconds for name in ("bytes_in", "bytes_out", "messages")
+            }
             figures["cpu_share"] = at_rest["cpu_ms"] / seconds / 1000
             figures["rss_mb"] = machine.resident_mb(real.number)
             changes = int(PACE * seconds)
@@ -47,8 +49,12 @@
     await act  # type: ignore[misc]
     await asyncio.sleep(max(0.0, began + seconds - time.monotonic()))
     out, back, calls = (now - then for now, then in zip(wires(real), before, strict=True))
-    return {"cpu_ms": machine.cpu_ms(real.number) - cpu, "bytes_out": float(out), "bytes_in": float(back),
-            "messages": float(calls)}
+    return {
+        "cpu_ms": machine.cpu_ms(real.number) - cpu,
+        "bytes_out": float(out),
+        "bytes_in": float(back),
+        "messages": float(calls),
+    }
 
 
 def wires(real: Real) -> tuple[int, int, int]:
--- a/calicomast/lab/scale/rig.py
+++ b/calicomast/lab/scale/rig.py
@@ -26,9 +26,16 @@
 
 
 def entry(number: int) -> Json:
-    return {"id": f"h-{number:08x}", "addr": f"10.{number >> 16}.{number >> 8 & 255}.{number & 255}:6379",
-            "zone": ZONES[number % 3], "kind": "std", "cell": number % 7, "state": "up", "weight": 1.0,
-            "started_ms": 0}
+    return {
+        "id": f"h-{number:08x}",
+        "addr": f"10.{number >> 16}.{number >> 8 & 255}.{number & 255}:6379",
+        "zone": ZONES[number % 3],
+        "kind": "std",
+        "cell": number % 7,
+        "state": "up",
+        "weight": 1.0,
+        "started_ms": 0,
+    }
 
 
 def run_module(tree: Path = ROOT) -> str:
@@ -112,9 +119,17 @@
 
 
 class Rig:
-    def __init__(self, folder: Path, hosts: int, gateways: int = 4200, watchers: int = 4000,
-                 more: Json | None = None, listed: list[Json] | None = None, tree: Path = ROOT,
-                 own: int = OWN) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        hosts: int,
+        gateways: int = 4200,
+        watchers: int = 4000,
+        more: Json | None = None,
+        listed: list[Json] | None = None,
+        tree: Path = ROOT,
+        own: int = OWN,
+    ) -> None:
         """`gateways`: as many as the settings name; `more`: keys of a gateway's file; `listed`: hosts in
         place of such as nobody listens for, none of which changes; `tree`: the build of the gateways; `own`:
         hosts that register themselves."""
@@ -124,10 +139,12 @@
         self.more = more or {}
         self.service_at = f"127.0.0.1:{free_port()}"
         (folder / "hosts.json").write_text(json.dumps({"servers": listed}))
-        (folder / "registry.json").write_text(json.dumps({
-            "listen": self.service_at, "hosts": str(folder / "hosts.json"), "watchers": watchers}))
-        self.service = Part("service", folder, "calicomast.registry",
-                            env={"REGISTRY_CONFIG": str(folder / "registry.json")})
+        (folder / "registry.json").write_text(
+            json.dumps({"listen": self.service_at, "hosts": str(folder / "hosts.json"), "watchers": watchers})
+        )
+        self.service = Part(
+            "service", folder, "calicomast.registry", env={"REGISTRY_CONFIG": str(folder / "registry.json")}
+        )
         self.counter = Part("counter", folder, "calicomast.cli", "standin", "counter")
         self.real: list[Real] = []
         self.session: Any = None
@@ -167,12 +184,15 @@
     async def register(self, number: int) -> int:
         """A host of its own starts, or starts anew. The version of that."""
         self.changed += 1
-        return await self.put(number, self.changed, RENEWED, 10 ** 12 + self.changed)
+        return await self.put(number, self.changed, RENEWED, 10**12 + self.changed)
 
     async def put(self, number: int, incarnation: int, ttl_ms: int, started_ms: int = 0) -> int:
         """The version of that."""
         told = {key: value for key, value in entry(number).items() if key not in ("id", "state")} | {
-            "started_ms": started_ms, "incarnation": incarnation, "ttl_ms": ttl_ms}
+            "started_ms": started_ms,
+            "incarnation": incarnation,
+            "ttl_ms": ttl_ms,
+        }
         url = f"http://{self.service_at}/v1/hosts/h-{number:08x}"
         async with self.session.put(url, data=json.dumps(told)) as answer:
             if answer.status != 200:
@@ -194,22 +214,40 @@
 
     # Gateways
 
-    async def start(self, number: int, tree: Callable[[Json], Json] = lambda told: told, module: str = "",
-                    env: Mapping[str, str] = NOTHING) -> float:
+    async def start(
+        self,
+        number: int,
+        tree: Callable[[Json], Json] = lambda told: told,
+        module: str = "",
+        env: Mapping[str, str] = NOTHING,
+    ) -> float:
         """A real gateway, by the deploy file's module where none is named; seconds until it is ready."""
         name = f"gateway-{number}"
         lists, counts = Wire(self.service_at), Wire(self.counter.places["listen"])
-        settings = BASE | {"services": CLASSES, "plans": list(PLANS), "index": number,
-                           "group_size": self.named, "locality": ZONES[number % 3]}
-        told = config([], await lists.open(), await counts.open(), settings, name,
-                      f"127.0.0.1:{free_port()}")
+        settings = BASE | {
+            "services": CLASSES,
+            "plans": list(PLANS),
+            "index": number,
+            "group_size": self.named,
+            "locality": ZONES[number % 3],
+        }
+        told = config([], await lists.open(), await counts.open(), settings, name, f"127.0.0.1:{free_port()}")
         control, scratch = f"127.0.0.1:{free_port()}", self.folder / name
         scratch.mkdir()
         told |= {"seed": f"{number + 1:x}", "control": control, "replicas": {"others": [], "keep": False}}
         (self.folder / f"{name}.json").write_text(json.dumps(tree(told | self.more)))
-        part = Part(name, self.folder, module or run_module(self.tree), env={
-            **env, "RELAY_CONFIG": str(self.folder / f"{name}.json"), "TMPDIR": str(scratch),
-            "PYTHONPATH": str(self.tree), "PYTHONSAFEPATH": "1"})  # the build of no other place
+        part = Part(
+            name,
+            self.folder,
+            module or run_module(self.tree),
+            env={
+                **env,
+                "RELAY_CONFIG": str(self.folder / f"{name}.json"),
+                "TMPDIR": str(scratch),
+                "PYTHONPATH": str(self.tree),
+                "PYTHONSAFEPATH": "1",
+            },
+        )  # the build of no other place
         part.places = {"listen": told["listen"], "control": control}
         began = time.monotonic()
         await part.start()
--- a/calicomast/lab/scale/runs.py
+++ b/calicomast/lab/scale/runs.py
@@ -63,10 +63,21 @@
     schema: int = 1
 
 
-def begin(name: str, role: str, axis: str, variant: str, held: dict[str, Where], seed: int,
-          tree: Path) -> Run:
-    return Run(name, role, axis, machine.build(tree), seed, variant, held, Machine(**machine.machine()), 0.0,
-               datetime.now(UTC).isoformat(timespec="seconds"))
+def begin(
+    name: str, role: str, axis: str, variant: str, held: dict[str, Where], seed: int, tree: Path
+) -> Run:
+    return Run(
+        name,
+        role,
+        axis,
+        machine.build(tree),
+        seed,
+        variant,
+        held,
+        Machine(**machine.machine()),
+        0.0,
+        datetime.now(UTC).isoformat(timespec="seconds"),
+    )
 
 
 def load(path: Path) -> Run:
@@ -101,22 +112,28 @@
 def lacking(points: list[Point]) -> list[str]:
     """Sizes with fewer repeats than there should be; what is counted in virtual time needs but one."""
     repeats = Counter(point.at for point in points if point.yardstick_ms)
-    return [f"{LACKING}{count} of {REPEATS} repeats at {', '.join(map(str, sizes))}"
-            for count in range(1, REPEATS)
-            if (sizes := [size for size, found in sorted(repeats.items()) if found == count])]
+    return [
+        f"{LACKING}{count} of {REPEATS} repeats at {', '.join(map(str, sizes))}"
+        for count in range(1, REPEATS)
+        if (sizes := [size for size, found in sorted(repeats.items()) if found == count])
+    ]
 
 
 def fits(points: list[Point]) -> dict[str, dict[str, Any]]:
     """Of each figure, over the points that have it."""
     names = sorted({name for point in points for name in point.figures})
-    return {name: fit([(point.at, point.figures[name]) for point in points if name in point.figures])
-            for name in names}
+    return {
+        name: fit([(point.at, point.figures[name]) for point in points if name in point.figures])
+        for name in names
+    }
 
 
 def worst(one: dict[str, Off], other: dict[str, Off]) -> dict[str, Off]:
     """Of each figure that by which hollow ones are off most."""
-    return {name: max((told[name] for told in (one, other) if name in told), key=lambda it: it.off)
-            for name in {**one, **other}}
+    return {
+        name: max((told[name] for told in (one, other) if name in told), key=lambda it: it.off)
+        for name in {**one, **other}
+    }
 
 
 def off(real: float, hollow: float) -> float:
--- a/calicomast/lab/scale/service.py
+++ b/calicomast/lab/scale/service.py
@@ -42,7 +42,7 @@
     async def start(self) -> None:
         await self.part.start(told=True)
         host, _, port = self.part.places["listen"].rpartition(":")
-        self.line = await asyncio.open_connection(host, int(port), limit=2 ** 22)
+        self.line = await asyncio.open_connection(host, int(port), limit=2**22)
 
     async def counts(self) -> Counts:
         reader, writer = self.line
@@ -89,9 +89,14 @@
         for n in range(self.real):
             await self.start_full(n)
         numbers = range(self.light)  # the first have the real ones' numbers, and views
-        self.crowds = [hollow(rig, f"crowd-{first}", Crowd(
-            first, min(EACH, self.light - first), rig.named, rig.service_at, self.view))
-            for first in numbers[::EACH]]
+        self.crowds = [
+            hollow(
+                rig,
+                f"crowd-{first}",
+                Crowd(first, min(EACH, self.light - first), rig.named, rig.service_at, self.view),
+            )
+            for first in numbers[::EACH]
+        ]
         began = time.monotonic()
         await asyncio.gather(*(crowd.start() for crowd in self.crowds))
         await self.told(1)
@@ -102,8 +107,9 @@
         rig = self.rig
         lists, counts = Wire(rig.service_at), Wire(rig.counter.places["listen"])
         tree = json.loads((rig.folder / "gateway-0.json").read_text()) | {"counter": await counts.open()}
-        made = hollow(rig, f"hollow-{number}", Crowd(number, 1, rig.named, await lists.open(), self.view,
-                                                     tree=tree))
+        made = hollow(
+            rig, f"hollow-{number}", Crowd(number, 1, rig.named, await lists.open(), self.view, tree=tree)
+        )
         made.wires = [lists, counts]
         self.full.append(made)
         await made.start()
@@ -131,8 +137,11 @@
     async def news(self) -> dict[str, list[tuple[int, int]]]:
         """Bytes and answers that brought news: of real ones, full and light hollow ones."""
         light = [(int(one["news_back"]), int(one["news"])) for one in await self.lights()]
-        return {"real": [real.lists.news() for real in self.rig.real],
-                "hollow": [made.wires[0].news() for made in self.full], "light": light}
+        return {
+            "real": [real.lists.news() for real in self.rig.real],
+            "hollow": [made.wires[0].news() for made in self.full],
+            "light": light,
+        }
 
     async def change(self) -> float | None:
         """A host starts anew; seconds until the last that watches it has that. None: nobody does."""
@@ -149,13 +158,19 @@
     """What a play takes; lists that are told whole are kept as objects."""
     listed = min(hosts, view or hosts)
     light, crowds = gateways - 2 * REAL, -(-gateways // EACH)
-    mb = (2 * REAL * (FULL_MB + listed * HOST_KB / 1000) + crowds * LEAN_MB + 100 + hosts * HOST_KB / 1000
-          + light * (0.15 + listed * HOST_KB / 2000))
+    mb = (
+        2 * REAL * (FULL_MB + listed * HOST_KB / 1000)
+        + crowds * LEAN_MB
+        + 100
+        + hosts * HOST_KB / 1000
+        + light * (0.15 + listed * HOST_KB / 2000)
+    )
     return machine.Estimate(mb, 2 * REAL + crowds + 3, 60 + seconds + CHANGES * EVERY)
 
 
-async def play(hosts: int, gateways: int, view: int, seconds: float,
-               real: int = REAL) -> tuple[dict[str, float], dict[str, Off], list[str]]:
+async def play(
+    hosts: int, gateways: int, view: int, seconds: float, real: int = REAL
+) -> tuple[dict[str, float], dict[str, Off], list[str]]:
     """Figures, how far hollow ones are off, and what failed."""
     more = {"view": {"size": view}} if view else {}
     with tempfile.TemporaryDirectory(prefix="scale-") as folder:
@@ -168,8 +183,11 @@
             figures |= {"ready_s": ready, **moved}
             compared |= more_compared
             figures["failures"] = sum(one["failures"] for one in await now.every())
-    failed = [f"{name}: hollow {it.hollow:.6g}, real {it.real:.6g}" for name, it in compared.items()
-              if it.off > (0.0 if name.startswith(("bytes", "messages")) else MOST_OFF)]
+    failed = [
+        f"{name}: hollow {it.hollow:.6g}, real {it.real:.6g}"
+        for name, it in compared.items()
+        if it.off > (0.0 if name.startswith(("bytes", "messages")) else MOST_OFF)
+    ]
     return figures, compared, failed
 
 
@@ -179,14 +197,19 @@
     await asyncio.sleep(seconds)
     rest = cpu_since(now, takes, time.monotonic() - began)
     after, count = await totals(now), max(1, now.light)
-    figures = {"cpu_share_rest": rest["service"][0] / 1000,
-               "rss_mb": machine.resident_mb(numbers_of(now)["service"][0])}
+    figures = {
+        "cpu_share_rest": rest["service"][0] / 1000,
+        "rss_mb": machine.resident_mb(numbers_of(now)["service"][0]),
+    }
     for name, of in (("bytes_in_s_rest", "out"), ("bytes_out_s_rest", "back"), ("messages_s_rest", "calls")):
         figures[name] = (after[of] - before[of]) / seconds / count
-    memory = {side: [machine.resident_mb(number) for number in numbers]
-              for side, numbers in numbers_of(now).items()}
-    compared = {"cpu_share_rest": by_pair(rest, 1000.0, NO_SOCKET),
-                "rss_mb": by_pair(memory, 1.0, "the lab's own code beside the gateway's")}
+    memory = {
+        side: [machine.resident_mb(number) for number in numbers] for side, numbers in numbers_of(now).items()
+    }
+    compared = {
+        "cpu_share_rest": by_pair(rest, 1000.0, NO_SOCKET),
+        "rss_mb": by_pair(memory, 1.0, "the lab's own code beside the gateway's"),
+    }
     return figures, rest["service"][0], compared
 
 
@@ -207,13 +230,17 @@
     share = cpu_since(now, takes, seconds)
     cpu = (share["service"][0] - rest) * seconds / CHANGES
     after = await now.news()
-    rows = {side: [(b[0] - a[0], b[1] - a[1]) for a, b in zip(before[side], after[side], strict=True)]
-            for side in after}
+    rows = {
+        side: [(b[0] - a[0], b[1] - a[1]) for a, b in zip(before[side], after[side], strict=True)]
+        for side in after
+    }
     watchers = rows["light"] or rows["real"]
-    figures = {"cpu_ms_a_change": cpu,
-               "cpu_ms_a_change_gateway": cpu / (now.light + 2 * now.real),
-               "bytes_a_change_gateway": statistics.fmean(row[0] for row in watchers) / CHANGES,
-               "messages_a_change_gateway": statistics.fmean(row[1] for row in watchers) / CHANGES}
+    figures = {
+        "cpu_ms_a_change": cpu,
+        "cpu_ms_a_change_gateway": cpu / (now.light + 2 * now.real),
+        "bytes_a_change_gateway": statistics.fmean(row[0] for row in watchers) / CHANGES,
+        "messages_a_change_gateway": statistics.fmean(row[1] for row in watchers) / CHANGES,
+    }
     if times:
         figures |= {"last_ms": 1000 * statistics.median(times), "last_most_ms": 1000 * max(times)}
     return figures, compare(rows) | {"cpu_share_changing": by_pair(share, 1000.0, NO_SOCKET)}
@@ -221,8 +248,11 @@
 
 def numbers_of(now: Play) -> dict[str, list[int]]:
     assert now.rig.service.process is not None
-    return {"real": [real.number for real in now.rig.real], "hollow": [one.number for one in now.full],
-            "service": [now.rig.service.process.pid]}
+    return {
+        "real": [real.number for real in now.rig.real],
+        "hollow": [one.number for one in now.full],
+        "service": [now.rig.service.process.pid],
+    }
 
 
 def cpu_of(now: Play) -> dict[str, list[float]]:
@@ -231,17 +261,22 @@
 
 def cpu_since(now: Play, before: dict[str, list[float]], seconds: float) -> dict[str, list[float]]:
     """CPU in ms a second of each."""
-    return {side: [(b - a) / seconds for a, b in zip(before[side], numbers, strict=True)]
-            for side, numbers in cpu_of(now).items()}
+    return {
+        side: [(b - a) / seconds for a, b in zip(before[side], numbers, strict=True)]
+        for side, numbers in cpu_of(now).items()
+    }
 
 
 def compare(rows: dict[str, list[tuple[int, int]]]) -> dict[str, Off]:
     """What has to be equal: each real gateway beside the hollow ones with its number; the furthest apart."""
     compared = dict[str, Off]()
     for column, name in enumerate(("bytes_in_a_change", "messages_a_change")):
-        pairs = [(real[column] / CHANGES, rows[side][number][column] / CHANGES)
-                 for number, real in enumerate(rows["real"])
-                 for side in ("hollow", "light") if number < len(rows[side])]
+        pairs = [
+            (real[column] / CHANGES, rows[side][number][column] / CHANGES)
+            for number, real in enumerate(rows["real"])
+            for side in ("hollow", "light")
+            if number < len(rows[side])
+        ]
         real, hollow = max(pairs, key=lambda pair: off(*pair))
         compared[name] = beside(real, hollow)
     return compared
--- a/calicomast/lab/scale/stamped.py
+++ b/calicomast/lab/scale/stamped.py
@@ -76,8 +76,11 @@
 
     def of(self, attempt: Any) -> Trace | None:
         """Of the request that an attempt is for; none for a probe."""
-        return self.open.get(attempt.tag[0].id) if attempt is not None and isinstance(attempt.tag, tuple) \
+        return (
+            self.open.get(attempt.tag[0].id)
+            if attempt is not None and isinstance(attempt.tag, tuple)
             else None
+        )
 
     # The way in
 
@@ -177,20 +180,32 @@
             self.done[work.id] = trace.row()
 
     def hooks(self) -> list[tuple[type, str, Callable[..., Any]]]:
-        return [(Client, "data_received", self.heard), (GatewayNode, "take", self.take),
-                (GatewayNode, "read_request", self.read), (GatewayNode, "__init__", self.made),
-                (Pool, "start", self.start), (SharedPool, "start", self.start),
-                (Pool, "start_new", self.start_new), (Connection, "start", self.goes_out),
-                (Connection, "data_received", self.answered), (GatewayNode, "attempt_done", self.attempted),
-                (GatewayNode, "finish", self.finish)]
+        return [
+            (Client, "data_received", self.heard),
+            (GatewayNode, "take", self.take),
+            (GatewayNode, "read_request", self.read),
+            (GatewayNode, "__init__", self.made),
+            (Pool, "start", self.start),
+            (SharedPool, "start", self.start),
+            (Pool, "start_new", self.start_new),
+            (Connection, "start", self.goes_out),
+            (Connection, "data_received", self.answered),
+            (GatewayNode, "attempt_done", self.attempted),
+            (GatewayNode, "finish", self.finish),
+        ]
 
     def told(self) -> dict[str, Any]:
         return {"requests": {name: self.told_of(name) for name in self.done}, "pauses": self.pauses}
 
     def told_of(self, name: str) -> dict[str, Any]:
         began, written, heard, ended, *spent = self.done[name]
-        return {"began": began, "written": written, "heard": heard, "ended": ended,
-                "spent": dict(zip(PARTS, spent, strict=True))}
+        return {
+            "began": began,
+            "written": written,
+            "heard": heard,
+            "ended": ended,
+            "spent": dict(zip(PARTS, spent, strict=True)),
+        }
 
 
 def wrapped(act: Callable[..., Any], hook: Callable[..., Any]) -> Callable[..., Any]:
--- a/calicomast/lab/scale/swarm.py
+++ b/calicomast/lab/scale/swarm.py
@@ -67,8 +67,13 @@
     swarm.back = 0
     seconds = ROUNDS * max(EXCHANGE, EXCHANGE_EACH * size)
     swarm.run(seconds)
-    return {"messages_s": swarm.sent.total() / size / seconds,
-            "bytes_out_s": swarm.out.total() / size / seconds, "bytes_in_s": swarm.back / size / seconds,
-            "bytes_out_s_most": float(max(swarm.out.values())),
-            "start_known_s": known, "start_rest_s": rest, "start_bytes_out": started / size,
-            "start_bytes_out_s_most": float(worst)}
+    return {
+        "messages_s": swarm.sent.total() / size / seconds,
+        "bytes_out_s": swarm.out.total() / size / seconds,
+        "bytes_in_s": swarm.back / size / seconds,
+        "bytes_out_s_most": float(max(swarm.out.values())),
+        "start_known_s": known,
+        "start_rest_s": rest,
+        "start_bytes_out": started / size,
+        "start_bytes_out_s_most": float(worst),
+    }
--- a/calicomast/membership/core.py
+++ b/calicomast/membership/core.py
@@ -178,8 +178,17 @@
 
 
 class Swim:
-    def __init__(self, cluster: str, name: str, address: Address, incarnation: int, seeds: list[Address],
-                 rng: random.Random, now: float, meta: dict[str, str] | None = None) -> None:
+    def __init__(
+        self,
+        cluster: str,
+        name: str,
+        address: Address,
+        incarnation: int,
+        seeds: list[Address],
+        rng: random.Random,
+        now: float,
+        meta: dict[str, str] | None = None,
+    ) -> None:
         self.cluster, self.name, self.address, self.seeds, self.rng = cluster, name, address, seeds, rng
         self.me = Member(name, address, incarnation, ALIVE, now, meta or {})
         self.members: dict[str, Member] = {name: self.me}
@@ -422,8 +431,9 @@
         for member in self.living():
             if member.state == SUSPECT:
                 member.since = min(now, member.since + slept)
-                self.after(member.since + self.suspicion(member) - now, now, "end",
-                           (member.name, member.incarnation))
+                self.after(
+                    member.since + self.suspicion(member) - now, now, "end", (member.name, member.incarnation)
+                )
 
     def take(self) -> list[Send]:
         if self.news and self.now - self.pushed_at >= PUSH_EACH - 1e-9:
@@ -555,8 +565,14 @@
         head = {"c": self.cluster, "f": self.name, "a": self.address}
         self.out.append(Send(to, json.dumps({**head, **told}, separators=(",", ":")).encode()))
 
-    def send(self, to: Address, kind: str, seq: int, member: Member | None = None,
-             more: dict[str, Any] | None = None) -> None:
+    def send(
+        self,
+        to: Address,
+        kind: str,
+        seq: int,
+        member: Member | None = None,
+        more: dict[str, Any] | None = None,
+    ) -> None:
         """With the rumours passed on least; to one that is held for suspect or dead that first, so that it
         can refute."""
         most = RUMOUR_MULT * max(1, math.ceil(math.log2(max(2, self.size()))))
@@ -619,8 +635,9 @@
             member.through = probe.name != name
 
 
-def read(cluster: str, sender: Address,
-         data: bytes) -> tuple[str, int, str, Address, list[Word], dict[str, Any]]:
+def read(
+    cluster: str, sender: Address, data: bytes
+) -> tuple[str, int, str, Address, list[Word], dict[str, Any]]:
     """Kind, number, sender's name and address, words, and the datagram itself. Raises Foreign."""
     try:
         told = json.loads(data)
@@ -644,11 +661,19 @@
 def read_word(row: Any) -> Word:
     name, host, port, incarnation, state, meta, *more = row
     accusers = more[0] if more else []
-    sound = (isinstance(name, str) and 0 < len(name) <= 128 and is_address(host, port)
-             and type(incarnation) is int and 0 <= incarnation < 2 ** 62 and type(state) is int
-             and isinstance(meta, dict) and len(json.dumps(meta)) <= MOST_META
-             and isinstance(accusers, list) and len(accusers) <= MOST_ACCUSERS
-             and all(isinstance(accuser, str) and len(accuser) <= 128 for accuser in accusers))
+    sound = (
+        isinstance(name, str)
+        and 0 < len(name) <= 128
+        and is_address(host, port)
+        and type(incarnation) is int
+        and 0 <= incarnation < 2**62
+        and type(state) is int
+        and isinstance(meta, dict)
+        and len(json.dumps(meta)) <= MOST_META
+        and isinstance(accusers, list)
+        and len(accusers) <= MOST_ACCUSERS
+        and all(isinstance(accuser, str) and len(accuser) <= 128 for accuser in accusers)
+    )
     if not sound:
         raise Foreign("malformed")
     return Word(name, (host, port), incarnation, STATES[state], meta, tuple(accusers))
--- a/calicomast/membership/service.py
+++ b/calicomast/membership/service.py
@@ -49,8 +49,12 @@
     advertise = told.get("advertise")
     if advertise is not None and not isinstance(advertise, str):
         raise ValueError(f"membership.advertise is {advertise!r}, not HOST:PORT")
-    return Membership(cluster, read_address(told["listen"]), tuple(read_address(seed) for seed in seeds),
-                      read_address(advertise) if advertise else None)
+    return Membership(
+        cluster,
+        read_address(told["listen"]),
+        tuple(read_address(seed) for seed in seeds),
+        read_address(advertise) if advertise else None,
+    )
 
 
 def numeric(host: str) -> bool:
@@ -101,8 +105,16 @@
         self.transport, _ = await loop.create_datagram_endpoint(lambda: self, local_addr=self.config.listen)
         place = self.transport.get_extra_info("sockname")[:2]
         told = self.config.advertise or place
-        self.swim = Swim(self.config.cluster, self.name, told, int(time.time() * 1000),
-                         seeds, random.Random(), monotonic(), self.meta())
+        self.swim = Swim(
+            self.config.cluster,
+            self.name,
+            told,
+            int(time.time() * 1000),
+            seeds,
+            random.Random(),
+            monotonic(),
+            self.meta(),
+        )
         self.turn()
         if any(not numeric(host) for host, _ in self.config.seeds):
             self.resolving = loop.create_task(self.keep_resolving())
@@ -146,18 +158,38 @@
     def told(self) -> dict[str, Any]:
         """What operators see. Those of this one's kind whose configuration version differs are named."""
         now, own = monotonic(), self.swim.me.meta
-        rows = [{"name": m.name, "address": write_address(m.address), "state": m.state,
-                 "for": round(now - m.since, 1), "incarnation": m.incarnation,
-                 "accusers": m.accusers, "through": m.through, **m.meta}
-                for m in sorted(self.swim.members.values(), key=lambda m: m.name)]
-        disagree = [m.name for m in self.swim.members.values()
-                    if m.state == ALIVE and m.meta.get("kind") == own.get("kind")
-                    and m.meta.get("config") != own.get("config")]
-        return {"cluster": self.config.cluster, "name": self.name, "members": rows,
-                "disagree": sorted(disagree), "health": self.swim.doubt, "version": self.swim.version,
-                "late": round(max(self.late), 3), "silent": round(self.swim.silent, 3),
-                "overflows": overflows(self.transport.get_extra_info("socket")),
-                "counts": dict(self.swim.counts)}
+        rows = [
+            {
+                "name": m.name,
+                "address": write_address(m.address),
+                "state": m.state,
+                "for": round(now - m.since, 1),
+                "incarnation": m.incarnation,
+                "accusers": m.accusers,
+                "through": m.through,
+                **m.meta,
+            }
+            for m in sorted(self.swim.members.values(), key=lambda m: m.name)
+        ]
+        disagree = [
+            m.name
+            for m in self.swim.members.values()
+            if m.state == ALIVE
+            and m.meta.get("kind") == own.get("kind")
+            and m.meta.get("config") != own.get("config")
+        ]
+        return {
+            "cluster": self.config.cluster,
+            "name": self.name,
+            "members": rows,
+            "disagree": sorted(disagree),
+            "health": self.swim.doubt,
+            "version": self.swim.version,
+            "late": round(max(self.late), 3),
+            "silent": round(self.swim.silent, 3),
+            "overflows": overflows(self.transport.get_extra_info("socket")),
+            "counts": dict(self.swim.counts),
+        }
 
     def close(self) -> None:
         """Leaves on purpose."""
--- a/calicomast/net/admission.py
+++ b/calicomast/net/admission.py
@@ -57,9 +57,16 @@
     vanished: float = 60.0  # s without a sign of life after which a peer's machine is gone; 0: never
 
 
-KEYS: dict[str, Any] = {"per_source": int, "new_per_source": int | float, "new": int | float, "prefix4": int,
-                        "prefix6": int, "vanished": int | float, "connects": int,
-                        "connects_all": int}
+KEYS: dict[str, Any] = {
+    "per_source": int,
+    "new_per_source": int | float,
+    "new": int | float,
+    "prefix4": int,
+    "prefix6": int,
+    "vanished": int | float,
+    "connects": int,
+    "connects_all": int,
+}
 MOST = {"prefix4": 32, "prefix6": 128, "vanished": 3600}
 
 
@@ -376,8 +383,12 @@
         return
     probes = 3
     every = max(1, int(seconds / (probes + 1)))
-    for option, value in ((socket.TCP_KEEPIDLE, every), (socket.TCP_KEEPINTVL, every),
-                          (socket.TCP_KEEPCNT, probes), (socket.TCP_USER_TIMEOUT, int(seconds * 1000))):
+    for option, value in (
+        (socket.TCP_KEEPIDLE, every),
+        (socket.TCP_KEEPINTVL, every),
+        (socket.TCP_KEEPCNT, probes),
+        (socket.TCP_USER_TIMEOUT, int(seconds * 1000)),
+    ):
         sock.setsockopt(socket.IPPROTO_TCP, option, value)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
 
@@ -394,8 +405,11 @@
 def overflows() -> int:
     """Connections that this machine lost because a backlog was full, whichever socket's it was."""
     try:
-        heads, values = [line.split() for line in Path("/proc/net/netstat").read_text().splitlines()
-                         if line.startswith("TcpExt:")]
+        heads, values = [
+            line.split()
+            for line in Path("/proc/net/netstat").read_text().splitlines()
+            if line.startswith("TcpExt:")
+        ]
     except (OSError, ValueError):
         return 0
     return int(dict(zip(heads, values, strict=True)).get("ListenOverflows", 0))
@@ -480,13 +494,20 @@
     def status(self) -> dict[str, Any]:
         """Connections by what became of them, and the turns: who waits, and how much one may have in work."""
         waiting, most = backlog(self.sockets[0])
-        told = {**self.gate.counts, "backlog": waiting, "backlog_most": most,
-                "overflows": overflows() - self.overflows}
+        told = {
+            **self.gate.counts,
+            "backlog": waiting,
+            "backlog_most": most,
+            "overflows": overflows() - self.overflows,
+        }
         if self.turns is None:
             return told
         windows = [client.window for client in self.server.clients if isinstance(client, FairClient)]
-        return {**told, "turns": self.turns.waiting(),
-                "windows": [int(min(windows, default=WINDOW)), int(max(windows, default=WINDOW))]}
+        return {
+            **told,
+            "turns": self.turns.waiting(),
+            "windows": [int(min(windows, default=WINDOW)), int(max(windows, default=WINDOW))],
+        }
 
     def close(self) -> None:
         if self.timer is not None:
--- a/calicomast/net/changes.py
+++ b/calicomast/net/changes.py
@@ -61,8 +61,13 @@
         return json.dumps([self.number, self.digest, self.since, self.by, self.of])[:-1] + f", {self.text}]"
 
     def told(self) -> Tree:
-        return {"version": self.number, "digest": self.digest, "since": round(self.since, 3), "by": self.by,
-                **({"of": self.of} if self.of is not None else {})}
+        return {
+            "version": self.number,
+            "digest": self.digest,
+            "since": round(self.since, 3),
+            "by": self.by,
+            **({"of": self.of} if self.of is not None else {}),
+        }
 
 
 @dataclass(frozen=True, slots=True)
@@ -108,17 +113,28 @@
     """Raises Torn unless it is what History.text() makes."""
     try:
         file, waits, told = json.loads(text)
-        versions = tuple(version(number, since, by, content, of)
-                         for number, _, since, by, of, content in told)
+        versions = tuple(
+            version(number, since, by, content, of) for number, _, since, by, of, content in told
+        )
         pending = Pending(**waits) if waits else None
         numbers = [v.number for v in versions]
         sound = bool(numbers) and all(type(v.number) is int and keys.is_number(v.since) for v in versions)
-        sound = sound and numbers == sorted(set(numbers)) and isinstance(file, str) and all(
-            v.by in BY and isinstance(v.content, dict) and v.digest == entry[1] and (
-                v.of is None or type(v.of) is int)
-            for v, entry in zip(versions, told, strict=True))
-        sound = sound and (pending is None or (pending.number == numbers[-1] and pending.back in numbers
-                                               and keys.is_number(pending.until)))
+        sound = (
+            sound
+            and numbers == sorted(set(numbers))
+            and isinstance(file, str)
+            and all(
+                v.by in BY
+                and isinstance(v.content, dict)
+                and v.digest == entry[1]
+                and (v.of is None or type(v.of) is int)
+                for v, entry in zip(versions, told, strict=True)
+            )
+        )
+        sound = sound and (
+            pending is None
+            or (pending.number == numbers[-1] and pending.back in numbers and keys.is_number(pending.until))
+        )
     except (ValueError, TypeError, KeyError, AttributeError, RecursionError) as err:
         raise Torn(f"not a history: {type(err).__name__} {err}") from err
     if not sound:
@@ -132,8 +148,11 @@
 
 def content(config: Config) -> Tree:
     """What of a configuration may change: as it is in force, whether the file or the environment gave it."""
-    told = {"discovery": write_address(config.discovery), "limits": config.tree["limits"],
-            "settings": config.tree["settings"]}
+    told = {
+        "discovery": write_address(config.discovery),
+        "limits": config.tree["limits"],
+        "settings": config.tree["settings"],
+    }
     return told | ({"counter": write_address(config.counter)} if config.counter else {})
 
 
@@ -178,7 +197,8 @@
                 if found is None:
                     self.write(own)
                 elif found.file != own.file or (
-                        found.newest.by == "start" and found.newest.content != self.current.content):
+                    found.newest.by == "start" and found.newest.content != self.current.content
+                ):
                     found = replace(found, file=own.file)
                     found = found.add(self.current.content, self.node.clock(), "start")
                     self.write(found)
@@ -228,18 +248,30 @@
         last, self.current = self.current, version
         if list(keys.differences(last.content, version.content)):
             self.node.adopt(config, listing)
-        log.info("version %d is in force, by %s: %d classes, %d plans, discovery at %s", version.number,
-                 version.by, len(config.settings.classes), len(config.settings.plans),
-                 write_address(config.discovery))
+        log.info(
+            "version %d is in force, by %s: %d classes, %d plans, discovery at %s",
+            version.number,
+            version.by,
+            len(config.settings.classes),
+            len(config.settings.plans),
+            write_address(config.discovery),
+        )
 
     # What operators ask
 
     def status(self) -> Tree:
         self.look()
         pending, newest = self.history.pending, self.history.newest.number
-        return {**self.current.told(), **({"newest": newest} if newest != self.current.number else {}),
-                "pending": pending and {"version": pending.number, "back": pending.back,
-                                        "left": round(max(0.0, pending.until - self.node.clock()), 1)}}
+        return {
+            **self.current.told(),
+            **({"newest": newest} if newest != self.current.number else {}),
+            "pending": pending
+            and {
+                "version": pending.number,
+                "back": pending.back,
+                "left": round(max(0.0, pending.until - self.node.clock()), 1),
+            },
+        }
 
     def whole(self) -> Tree:
         """With the configuration itself, to make a candidate from."""
@@ -248,8 +280,10 @@
     def told(self) -> list[Tree]:
         self.look()
         waits = self.history.pending and self.history.pending.number
-        return [{**v.told(), "in_force": v == self.current, "pending": v.number == waits}
-                for v in self.history.versions]
+        return [
+            {**v.told(), "in_force": v == self.current, "pending": v.number == waits}
+            for v in self.history.versions
+        ]
 
     def check(self, body: bytes) -> Tree:
         """The candidate. Raises Refused with each fault."""
@@ -264,7 +298,7 @@
             except ConfigError as err:
                 faults = [keys.Fault("", None, str(err))]
         if faults:
-            raise Refused(400, f"{len(faults)} faults", faults=[f.told() for f in faults[:keys.MOST_TOLD]])
+            raise Refused(400, f"{len(faults)} faults", faults=[f.told() for f in faults[: keys.MOST_TOLD]])
         return tree
 
     def differences(self, tree: Tree) -> list[Tree]:
@@ -338,8 +372,9 @@
         except Refused:
             raise
         except TimeoutError as err:
-            raise Refused(503, f"{step}: nothing within {PREPARE_WITHIN:.0f} s; nothing changes",
-                          step=step) from err
+            raise Refused(
+                503, f"{step}: nothing within {PREPARE_WITHIN:.0f} s; nothing changes", step=step
+            ) from err
         except Exception as err:  # whatever went wrong there, the answer says so
             raise Refused(503, f"{step}: {type(err).__name__} {err}; nothing changes", step=step) from err
 
@@ -366,8 +401,12 @@
         except ConfigError as err:
             log.error("SIGHUP: %s; nothing changes", err)
             return
-        log.info("SIGHUP: %d classes, %d plans, discovery at %s", len(fresh.settings.classes),
-                 len(fresh.settings.plans), write_address(fresh.discovery))
+        log.info(
+            "SIGHUP: %d classes, %d plans, discovery at %s",
+            len(fresh.settings.classes),
+            len(fresh.settings.plans),
+            write_address(fresh.discovery),
+        )
         if fresh.counter and not self.node.config.counter:
             log.warning("SIGHUP: a counter that comes needs a new process; there is none until then")
         told = content(fresh)
@@ -405,6 +444,7 @@
     def expire(self) -> None:
         """Back to what was in force before, with no contact first: it worked, and the change may be what cut
         the operator off."""
+
         def undo(own: History) -> History:
             pending = own.pending
             if pending is None or self.node.clock() < pending.until:
@@ -422,6 +462,7 @@
 
 # What a change needs, in the order in which it is got. None has an effect that outlasts a failure.
 
+
 async def module(changes: Changes, change: Change) -> None:
     """The module takes the change on a trial of its own."""
     trial = Gateway(change.last.settings, 1, changes.node.clock())
@@ -450,4 +491,9 @@
 
 
 STEPS: dict[str, Callable[[Changes, Change], Awaitable[None]]] = {
-    "module": module, "room": room, "discovery": discovery, "counter": counter, "history": history}
+    "module": module,
+    "room": room,
+    "discovery": discovery,
+    "counter": counter,
+    "history": history,
+}
--- a/calicomast/net/clients.py
+++ b/calicomast/net/clients.py
@@ -81,7 +81,7 @@
 
     def add(self, piece: bytes) -> None:
         if self.size < len(self.data):  # and not the end behind it
-            self.data[self.size:self.size + len(piece)] = piece
+            self.data[self.size : self.size + len(piece)] = piece
             self.size += len(piece)
 
 
@@ -235,13 +235,28 @@
 
     def works(self) -> bool:
         """Whether something is due for it, or it ends."""
-        return bool(self.pending or self.closing or self.body or self.waits or self.unlooked
-                    or self.transport.is_closing())
+        return bool(
+            self.pending
+            or self.closing
+            or self.body
+            or self.waits
+            or self.unlooked
+            or self.transport.is_closing()
+        )
 
     def rests(self, since: float) -> bool:
         """Whether it has had no request since then."""
-        return not (self.pending or self.closing or self.body or self.waits or self.unlooked
-                    or self.awaited is not None) and self.active <= since
+        return (
+            not (
+                self.pending
+                or self.closing
+                or self.body
+                or self.waits
+                or self.unlooked
+                or self.awaited is not None
+            )
+            and self.active <= since
+        )
 
     def check_taken(self, now: float) -> None:
         """A client that takes nothing more of an answer is not kept, nor is the host's connection."""
@@ -349,8 +364,15 @@
 
     def throttle(self) -> None:
         """A client that takes no answers or has too much in work is not read until that is over."""
-        reading_paused = (self.paused or self.last or self.waits or self.unlooked or self.broken
-                   or self.write_shut is not None or len(self.pending) >= MOST_PENDING)
+        reading_paused = (
+            self.paused
+            or self.last
+            or self.waits
+            or self.unlooked
+            or self.broken
+            or self.write_shut is not None
+            or len(self.pending) >= MOST_PENDING
+        )
         if reading_paused != self.reading_paused and not self.transport.is_closing():
             self.reading_paused = reading_paused
             if reading_paused:
@@ -426,8 +448,11 @@
 
     async def listen(self, host: str, port: int, inherited: int | None = None, edge: Any = None) -> int:
         """On a duplicate of a descriptor that is inherited: closing it leaves the socket to its owner."""
-        sock = socket.socket(fileno=os.dup(inherited)) if inherited is not None else (
-            open_socket((host, port), BACKLOG))
+        sock = (
+            socket.socket(fileno=os.dup(inherited))
+            if inherited is not None
+            else (open_socket((host, port), BACKLOG))
+        )
         sock.setblocking(False)
         if edge is not None:
             from calicomast.net.admission import Acceptor
@@ -537,7 +562,7 @@
 
     def make_room(self) -> None:
         """After the limit has shrunk: as many go as are too many, of those that rest."""
-        for client in self.resting()[:max(0, len(self.clients) - self.most)]:
+        for client in self.resting()[: max(0, len(self.clients) - self.most)]:
             client.close_when_done()
 
     def left(self, client: Client) -> None:
--- a/calicomast/net/config.py
+++ b/calicomast/net/config.py
@@ -63,10 +63,22 @@
 
 def rebuild(last: Config, tree: dict[str, Any]) -> Config:
     """What `tree` says; what a process that runs cannot change stays as it is."""
-    return replace(build(tree, {}), name=last.name, listen=last.listen, inherited=last.inherited,
-                   control=last.control, scratch=last.scratch, seed=last.seed, known=last.known,
-                   others=last.others, keep=last.keep, replicas=last.replicas, edge=last.edge,
-                   membership=last.membership, view=last.view)
+    return replace(
+        build(tree, {}),
+        name=last.name,
+        listen=last.listen,
+        inherited=last.inherited,
+        control=last.control,
+        scratch=last.scratch,
+        seed=last.seed,
+        known=last.known,
+        others=last.others,
+        keep=last.keep,
+        replicas=last.replicas,
+        edge=last.edge,
+        membership=last.membership,
+        view=last.view,
+    )
 
 
 def complete(last: Any, fresh: Any, name: str) -> None:
@@ -119,14 +131,22 @@
         scratch=Path(scratch) if scratch else None,
         discovery=read_address(env.get("RELAY_DISCOVERY") or told["discovery"]),
         counter=read_address(counter) if counter else None,
-        seed=int(told["seed"], 16), sockets=int(told["limits"]["sockets"]),
-        memory=float(told["limits"]["memory_mb"]) * 2 ** 20,
-        known=read_list(told["known"], "cached"), settings=settings,
-        connect_timeout=seconds(limits["connect_timeout"]), idle_close=seconds(limits["idle_close"]),
-        max_open=int(limits["max_open"]), others=others, keep=keep, replicas="replicas" in told,
+        seed=int(told["seed"], 16),
+        sockets=int(told["limits"]["sockets"]),
+        memory=float(told["limits"]["memory_mb"]) * 2**20,
+        known=read_list(told["known"], "cached"),
+        settings=settings,
+        connect_timeout=seconds(limits["connect_timeout"]),
+        idle_close=seconds(limits["idle_close"]),
+        max_open=int(limits["max_open"]),
+        others=others,
+        keep=keep,
+        replicas="replicas" in told,
         edge=edge_of(told["edge"]) if "edge" in told else None,
         membership=membership_of(told["membership"]) if "membership" in told else None,
-        view=view_of(told["view"]) if "view" in told else None, tree=told)
+        view=view_of(told["view"]) if "view" in told else None,
+        tree=told,
+    )
 
 
 def membership_of(told: Any) -> Any:
