--- a/calicomast/net/control.py
+++ b/calicomast/net/control.py
@@ -134,7 +134,8 @@
             "/maintenance/enter": ("POST", lambda request: self.hand(request, True)),
             "/maintenance/exit": ("POST", lambda request: self.hand(request, False)),
             "/standby": ("POST", lambda request: self.drain(request, True)),
-            "/active": ("POST", lambda request: self.drain(request, False))}
+            "/active": ("POST", lambda request: self.drain(request, False)),
+        }
 
     async def listen(self, address: Address) -> int:
         """Returns the port. Raises OSError."""
--- a/calicomast/net/counter.py
+++ b/calicomast/net/counter.py
@@ -183,8 +183,9 @@
             self.coming = self.coming or []
             try:
                 async with asyncio.timeout(1.0):
-                    await with_room(lambda: loop.create_connection(lambda: self, *self.address),
-                                    self.give_back)
+                    await with_room(
+                        lambda: loop.create_connection(lambda: self, *self.address), self.give_back
+                    )
             except (OSError, TimeoutError):
                 self.release()
                 await asyncio.sleep(pause)
--- a/calicomast/net/discovery.py
+++ b/calicomast/net/discovery.py
@@ -70,8 +70,14 @@
     half of it, with the pause after it."""
     unit = max(GRACE_LEAST, min(GRACE_MOST, grace))
     least, most = (part * unit for part in AGENT_LATE)
-    return Timeouts(AGENT_WAIT * unit, (least, most), AGENT_ANSWER * unit, 0.0,
-                    min(BACKOFF_MOST, AGENT_PAUSE * unit), math.inf)
+    return Timeouts(
+        AGENT_WAIT * unit,
+        (least, most),
+        AGENT_ANSWER * unit,
+        0.0,
+        min(BACKOFF_MOST, AGENT_PAUSE * unit),
+        math.inf,
+    )
 
 
 class Backoff:
@@ -108,9 +114,17 @@
 
     One call is in work at a time, so lists are taken in the order in which they were asked for."""
 
-    def __init__(self, address: Address, version: int | None, told: Callable[[Listing], None],
-                 failed: Callable[[], None], gateways: int = 1, seed: int = 0,
-                 grace: float | None = None, viewing: Any = None) -> None:
+    def __init__(
+        self,
+        address: Address,
+        version: int | None,
+        told: Callable[[Listing], None],
+        failed: Callable[[], None],
+        gateways: int = 1,
+        seed: int = 0,
+        grace: float | None = None,
+        viewing: Any = None,
+    ) -> None:
         self.address, self.viewing = address, viewing
         # With a view, too, what is known serves while the first call waits its turn; none goes on from it.
         self.waits, self.version = bool(viewing) and version is not None, None if viewing else version
@@ -155,8 +169,14 @@
             self.answered.set()
         return self.version != last or bool(listing.hosts.hosts)
 
-    async def call(self, fetcher: Fetcher, address: Address, params: Params, limit: float,
-                   early: Callable[[Listing], None] | None = None) -> Listing:
+    async def call(
+        self,
+        fetcher: Fetcher,
+        address: Address,
+        params: Params,
+        limit: float,
+        early: Callable[[Listing], None] | None = None,
+    ) -> Listing:
         """A list as it is told, without effect but for what `early` gets of it."""
         if self.viewing:
             return await self.viewing.ask(fetcher, address, PATH, query(params), limit, early)
@@ -249,8 +269,13 @@
     def told_of(self) -> dict[str, Any]:
         """What operators see of the list."""
         age = self.age()
-        return {"version": self.version, "age": None if age is None else round(age, 1), "from": self.url,
-                "failures": self.backoff.fails, **({"view": self.viewing.told_of()} if self.viewing else {})}
+        return {
+            "version": self.version,
+            "age": None if age is None else round(age, 1),
+            "from": self.url,
+            "failures": self.backoff.fails,
+            **({"view": self.viewing.told_of()} if self.viewing else {}),
+        }
 
     def watch_call(self) -> tuple[Params, float]:
         """A watch from the last list on, and the seconds after which it is broken."""
@@ -274,8 +299,12 @@
             if unreadable:  # what changed there is in the whole list
                 self.version = None
             if not self.backoff.fails:
-                self.odd.say(logging.WARNING, "discovery: %s %s; the last list stays, asking again with "
-                             "pauses", type(err).__name__, err)
+                self.odd.say(
+                    logging.WARNING,
+                    "discovery: %s %s; the last list stays, asking again with pauses",
+                    type(err).__name__,
+                    err,
+                )
             self.failed()
             return False
         if self.backoff.fails:
--- a/calicomast/net/fetch.py
+++ b/calicomast/net/fetch.py
@@ -63,8 +63,11 @@
             raise Broken(str(err)) from err
 
     async def answer(self, target: str) -> bytearray:
-        head = h11.Request(method="GET", target=target, headers=[("Host", host_of(self.address)),
-                                                                 ("Accept", "application/json")])
+        head = h11.Request(
+            method="GET",
+            target=target,
+            headers=[("Host", host_of(self.address)), ("Accept", "application/json")],
+        )
         if self.used and not await self.quiet():
             raise Closed("something came while it rested")
         self.writer.write(self.conn.send(head) + self.conn.send(h11.EndOfMessage()))
--- a/calicomast/net/gateway.py
+++ b/calicomast/net/gateway.py
@@ -33,7 +33,7 @@
 WAY_BACK = 0.03  # s before the client gives up by which the module is to be done
 GUARD = 0.01  # s before that by which a request without an answer is failed, whatever the module does
 MOST_LEFT = 3600.0  # s; a client that says it will wait for longer is in error
-MOST_CUSTOMER = 2 ** 33  # customers are numbers below it
+MOST_CUSTOMER = 2**33  # customers are numbers below it
 MOST_HELD = 16 * 1024 * 1024  # bytes of small bodies in work past which requests are refused
 PROCESS = 32 * 1024 * 1024  # bytes that a process takes by itself
 BODIES = 0.5  # part of the rest for large bodies: connections and pieces of values take some, too
@@ -76,8 +76,9 @@
 
     __slots__ = ("id", "slot", "command", "deadline", "limits", "guard", "sends", "live", "over", "stream")
 
-    def __init__(self, id: str, slot: Slot, command: list[bytes], deadline: float,
-                 limits: api.Limits) -> None:
+    def __init__(
+        self, id: str, slot: Slot, command: list[bytes], deadline: float, limits: api.Limits
+    ) -> None:
         self.id, self.slot, self.command, self.deadline = id, slot, command, deadline
         self.limits = limits
         self.guard: asyncio.TimerHandle | None = None
@@ -145,17 +146,25 @@
         if config.replicas:
             self.discovery = self.replicas(config.discovery, *args, None, self.viewing())
         else:
-            self.discovery = Discovery(config.discovery, *args, self.agent_grace(self.settings),
-                                       self.viewing())
+            self.discovery = Discovery(
+                config.discovery, *args, self.agent_grace(self.settings), self.viewing()
+            )
         for caller in (self.hosts, self.discovery.fetcher, *(self.counter.lines if self.counter else ())):
             caller.give_back = self.give_back
         self.actions = {
-            api.Send: self.send, api.Refuse: self.refuse, api.Fail: self.fail, api.Cancel: self.cancel,
-            api.Count: self.count, api.SetTimer: self.set_timer, api.Probe: self.probe,
-            api.Close: lambda a: self.hosts.close_idle(a.host), api.Fetch: lambda a: self.discovery.fetch(),
+            api.Send: self.send,
+            api.Refuse: self.refuse,
+            api.Fail: self.fail,
+            api.Cancel: self.cancel,
+            api.Count: self.count,
+            api.SetTimer: self.set_timer,
+            api.Probe: self.probe,
+            api.Close: lambda a: self.hosts.close_idle(a.host),
+            api.Fetch: lambda a: self.discovery.fetch(),
             api.Widen: lambda a: self.discovery.widen(a.hosts),
             api.Watch: lambda a: self.discovery.watch(a.on),
-            api.Log: lambda a: log.info("module: %s", a.text)}
+            api.Log: lambda a: log.info("module: %s", a.text),
+        }
 
     def agent_grace(self, settings: api.Settings) -> float | None:
         """The drain's, where lists are pushed to an agent beside this process."""
@@ -352,12 +361,25 @@
             raise BadRequest("class does not go with this command")
         # The module weighs a request by its units against the mean of all: one of 1e12 spoils that for long.
         most = self.settings.gateways
-        if not 0 < units <= self.settings.most_units or left > 1000 * MOST_LEFT or (
-                not 1 <= spread <= most or first >= most):
+        if (
+            not 0 < units <= self.settings.most_units
+            or left > 1000 * MOST_LEFT
+            or (not 1 <= spread <= most or first >= most)
+        ):
             raise BadRequest("field out of range")
         left = left / 1000 - WAY_BACK - waited
-        return api.Request(name.decode("latin-1"), left, customer.decode(), plan, cls.name, units,
-                           first, spread, fields.get(b"r") == b"1", write)
+        return api.Request(
+            name.decode("latin-1"),
+            left,
+            customer.decode(),
+            plan,
+            cls.name,
+            units,
+            first,
+            spread,
+            fields.get(b"r") == b"1",
+            write,
+        )
 
     def gone(self, slot: Slot) -> None:
         """The client went away: nothing more is sent for its request."""
@@ -416,13 +438,19 @@
             return
         number, left = work.sends, work.deadline - time.monotonic()
         work.sends += 1
-        if left <= 0 or number >= work.limits.max_attempts or (
-                work.live and not work.limits.second_copies):
+        if left <= 0 or number >= work.limits.max_attempts or (work.live and not work.limits.second_copies):
             self.feed(api.Outcome(work.id, number, action.host, "moot", 0.0, False))
             return
         wait = min(left, action.timeout) if action.timeout > 0 else left
-        attempt = Attempt(action.host, partial(self.goes_out, work), self.attempt_done, (work, number),
-                          work.body, self.value_begins, action.within)
+        attempt = Attempt(
+            action.host,
+            partial(self.goes_out, work),
+            self.attempt_done,
+            (work, number),
+            work.body,
+            self.value_begins,
+            action.within,
+        )
         work.live[number] = attempt
         self.hosts.send(attempt, wait)
 
@@ -463,8 +491,18 @@
         elif not over and (work.stream is attempt or (result == "ok" and work.stream is None)):
             self.finish(work, bulk(attempt.value))
         self.forget(work)
-        self.feed(api.Outcome(work.id, number, attempt.host, result, attempt.elapsed(), work.over,
-                              used=attempt.used, report=attempt.report))
+        self.feed(
+            api.Outcome(
+                work.id,
+                number,
+                attempt.host,
+                result,
+                attempt.elapsed(),
+                work.over,
+                used=attempt.used,
+                report=attempt.report,
+            )
+        )
 
     def cancel(self, action: api.Cancel) -> None:
         work = self.works.get(action.id)
@@ -535,8 +573,10 @@
         rest make room."""
         (connections, bodies), last = self.room(fresh), self.config
         if fresh.sockets < last.sockets:
-            busy = {"clients": len(self.clients.clients) - len(self.clients.resting()),
-                    "hosts": self.hosts.open - self.hosts.resting()}
+            busy = {
+                "clients": len(self.clients.clients) - len(self.clients.resting()),
+                "hosts": self.hosts.open - self.hosts.resting(),
+            }
             for what, count in busy.items():
                 if count > connections:
                     return f"{count} connections of {what} are in use, {connections} may be open"
@@ -560,10 +600,16 @@
 
     def status(self) -> dict[str, Any]:
         ready = self.ready and self.state == "active" and self.clients.listener is not None
-        return {"ready": ready, "state": self.state, "hosts": sorted(self.hosts.pools),
-                "hosts_out": sorted(self.hosts.out), "requests": len(self.works),
-                "clients": len(self.clients.clients), "list": self.discovery.told_of(),
-                **({"edge": self.clients.listener.status()} if self.config.edge else {})}
+        return {
+            "ready": ready,
+            "state": self.state,
+            "hosts": sorted(self.hosts.pools),
+            "hosts_out": sorted(self.hosts.out),
+            "requests": len(self.works),
+            "clients": len(self.clients.clients),
+            "list": self.discovery.told_of(),
+            **({"edge": self.clients.listener.status()} if self.config.edge else {}),
+        }
 
     def meta(self) -> dict[str, str]:
         """What this process tells the others of its cluster."""
@@ -602,8 +648,9 @@
         state = "standby" if on else "active"
         if state != self.state:
             self.state = state
-            log.info("drain %s: %d client connections", "begins" if on else "is over",
-                     len(self.clients.clients))
+            log.info(
+                "drain %s: %d client connections", "begins" if on else "is over", len(self.clients.clients)
+            )
             self.feed(api.Drain(on))
             self.clients.drain(on)
         return True
--- a/calicomast/net/hosts.py
+++ b/calicomast/net/hosts.py
@@ -47,13 +47,38 @@
     it once, when `result` (of interface.RESULTS) is known. `begins` hears of a large value: is it wanted?
     What has not begun to go out `within` so many seconds does not."""
 
-    __slots__ = ("host", "payload", "body", "done", "tag", "started", "result", "value", "used", "report",
-                 "conn", "timer", "begins", "began", "sink", "blocked", "whole", "until", "ends")
-
-    def __init__(self, host: str, payload: Callable[[float], bytes], done: Callable[[Attempt], None],
-                 tag: Any = None,
-                 body: bytearray | None = None, begins: Callable[[Attempt, int], bool] | None = None,
-                 within: float = math.inf) -> None:
+    __slots__ = (
+        "host",
+        "payload",
+        "body",
+        "done",
+        "tag",
+        "started",
+        "result",
+        "value",
+        "used",
+        "report",
+        "conn",
+        "timer",
+        "begins",
+        "began",
+        "sink",
+        "blocked",
+        "whole",
+        "until",
+        "ends",
+    )
+
+    def __init__(
+        self,
+        host: str,
+        payload: Callable[[float], bytes],
+        done: Callable[[Attempt], None],
+        tag: Any = None,
+        body: bytearray | None = None,
+        begins: Callable[[Attempt, int], bool] | None = None,
+        within: float = math.inf,
+    ) -> None:
         self.host, self.payload, self.done, self.tag, self.started = host, payload, done, tag, monotonic()
         self.body, self.begins, self.until = body, begins, self.started + within
         self.ends = math.inf  # when it is given up
--- a/calicomast/net/keys.py
+++ b/calicomast/net/keys.py
@@ -59,10 +59,12 @@
     return isinstance(value, int | float) and not isinstance(value, bool) and abs(value) <= sys.float_info.max
 
 
-def number(text: str, least: float = -math.inf, most: float = math.inf, above: float = -math.inf,
-           whole: bool = False) -> Kind:
-    return Kind(text, lambda v: is_number(v) and least <= v <= most and v > above and (
-        not whole or v == int(v)))
+def number(
+    text: str, least: float = -math.inf, most: float = math.inf, above: float = -math.inf, whole: bool = False
+) -> Kind:
+    return Kind(
+        text, lambda v: is_number(v) and least <= v <= most and v > above and (not whole or v == int(v))
+    )
 
 
 def one_of(*words: str) -> Kind:
@@ -90,8 +92,10 @@
 OBJECT = Kind("an object", lambda v: isinstance(v, dict))
 LIST = Kind("a list of objects", lambda v: isinstance(v, list) and all(isinstance(e, dict) for e in v))
 SOME = Kind("a list of one object at least", lambda v: LIST.fits(v) and bool(v))
-NAMES = Kind("a list of texts, or one text with commas", lambda v: isinstance(v, str) or (
-    isinstance(v, list) and all(isinstance(e, str) for e in v)))
+NAMES = Kind(
+    "a list of texts, or one text with commas",
+    lambda v: isinstance(v, str) or (isinstance(v, list) and all(isinstance(e, str) for e in v)),
+)
 AMOUNT = number("a number of 0 or more", least=0)
 MORE = number("a number above 0", above=0)
 SPAN = number("nanoseconds, a whole number of 0 or more", least=0, whole=True)
@@ -119,10 +123,18 @@
     Key("counter", ADDRESS, True, "each line moves once its calls are answered; it cannot come or go"),
     Key("limits", OBJECT, True, "room is shared out anew"),
     Key("limits.cores", MORE, True, "nothing here depends on it"),
-    Key("limits.memory_mb", number("a number of 32 or more", least=32), True,
-        "bounds large bodies; not below what the process has"),
-    Key("limits.sockets", number("a whole number of 128 or more", least=128, whole=True), True,
-        "bounds connections; not below those that are open"),
+    Key(
+        "limits.memory_mb",
+        number("a number of 32 or more", least=32),
+        True,
+        "bounds large bodies; not below what the process has",
+    ),
+    Key(
+        "limits.sockets",
+        number("a whole number of 128 or more", least=128, whole=True),
+        True,
+        "bounds connections; not below those that are open",
+    ),
     Key("settings", OBJECT, True, "taken whole"),
     Key("settings.index", COUNT, True, SELF),
     Key("settings.group_size", SOME_COUNT, True, SELF),
@@ -195,7 +207,7 @@
         return str(value)
     if isinstance(value, str) and len(value) > SHOWN:
         return value[:SHOWN] + "..."
-    if isinstance(value, int) and not isinstance(value, bool) and abs(value) >= 10 ** SHOWN:
+    if isinstance(value, int) and not isinstance(value, bool) and abs(value) >= 10**SHOWN:
         return "a number without end"
     return value
 
@@ -260,8 +272,13 @@
     faults = list(keys(tree, last, "", ""))
     for path in sorted(FIXED & tree.keys()):
         if path in last and tree[path] != last[path]:
-            faults.append(Fault(path, tree[path], f"as it is, or left out: {BY_PATH[path].why}; "
-                                                  "a change needs a new process"))
+            faults.append(
+                Fault(
+                    path,
+                    tree[path],
+                    f"as it is, or left out: {BY_PATH[path].why}; a change needs a new process",
+                )
+            )
     if not faults:
         faults = list(together(tree, last))
     return faults
@@ -298,8 +315,10 @@
     seen = set()
     for place, entry in enumerate(found):
         at = join(path, place)
-        yield from (Fault(join(at, name), None, "it must be there: it is in force")
-                    for name in common.keys() - entry.keys())
+        yield from (
+            Fault(join(at, name), None, "it must be there: it is in force")
+            for name in common.keys() - entry.keys()
+        )
         known = {name: value for name, value in optional.items() if name in entry}
         yield from keys(entry, known, at, join(pattern, "*"))
         name = entry.get("name")
@@ -316,8 +335,11 @@
     if bool(tree.get("counter")) != bool(last.get("counter")):
         yield Fault("counter", tree.get("counter"), "it cannot come or go: that needs a new process")
     if settings["specifics"].get("shared_counter") and not settings["specifics"].get("counter_timeout"):
-        yield Fault("settings.specifics.counter_timeout", settings["specifics"].get("counter_timeout"),
-                    "above 0 where there is a counter")
+        yield Fault(
+            "settings.specifics.counter_timeout",
+            settings["specifics"].get("counter_timeout"),
+            "above 0 where there is a counter",
+        )
     for place, plan in enumerate(settings["plans"]):
         for rate, burst in (("rate", "most_at_once"), ("cap_rate", "cap_depth")):
             if plan.get(rate, 0) > 0 and not plan.get(burst, 0) > 0:
@@ -338,8 +360,11 @@
 
 
 def named(value: Any) -> Any:
-    if isinstance(value, list) and value and all(isinstance(e, dict) and isinstance(e.get("name"), str)
-                                                 for e in value):
+    if (
+        isinstance(value, list)
+        and value
+        and all(isinstance(e, dict) and isinstance(e.get("name"), str) for e in value)
+    ):
         by_name = {entry["name"]: entry for entry in value}
         return by_name if len(by_name) == len(value) else value
     return value
@@ -347,7 +372,14 @@
 
 def table() -> str:
     """The keys as docs/configuration.md quotes them."""
-    rows = [f"| `{key.path}` | {key.kind.allowed} | {'yes' if key.running else 'new process'} | {key.why} |"
-            for key in KEYS]
-    return "\n".join(["| key | may hold | may change while running | how, or why not |",
-                      "| --- | --- | --- | --- |", *rows])
+    rows = [
+        f"| `{key.path}` | {key.kind.allowed} | {'yes' if key.running else 'new process'} | {key.why} |"
+        for key in KEYS
+    ]
+    return "\n".join(
+        [
+            "| key | may hold | may change while running | how, or why not |",
+            "| --- | --- | --- | --- |",
+            *rows,
+        ]
+    )
--- a/calicomast/net/replicas.py
+++ b/calicomast/net/replicas.py
@@ -34,8 +34,9 @@
 class Replicas(Discovery):
     """`folder` is where the list is kept; None: nowhere."""
 
-    def __init__(self, address: Address, others: tuple[Address, ...], folder: Path | None, name: str,
-                 *args: Any) -> None:
+    def __init__(
+        self, address: Address, others: tuple[Address, ...], folder: Path | None, name: str, *args: Any
+    ) -> None:
         super().__init__(address, *args)
         self.places, self.at = [address, *others], 0
         self.epoch, self.newest = "", 0  # of the last list; its version
@@ -85,8 +86,12 @@
     def take(self, listing: Listing) -> None:
         self.check(listing)
         if self.epoch and listing.epoch != self.epoch:
-            log.warning("discovery: %s is in epoch %s, not %s any longer: its whole list counts", self.url,
-                        listing.epoch or "none", self.epoch)
+            log.warning(
+                "discovery: %s is in epoch %s, not %s any longer: its whole list counts",
+                self.url,
+                listing.epoch or "none",
+                self.epoch,
+            )
         super().take(listing)
         if self.writing is None and self.kept.path is not None:
             self.writing = asyncio.get_running_loop().call_later(KEEP_EVERY, self.keep)
@@ -103,15 +108,34 @@
 
     def keep(self) -> None:
         self.writing = None
-        servers = [{"id": h.id, "zone": h.zone, "kind": h.kind, "cell": h.cell, "state": WORD[h.state],
-                    "weight": h.weight, "started_ms": h.started * 1000,
-                    **({"addr": write_address(address)} if address else {})}
-                   for h, address in self.list.values()]
+        servers = [
+            {
+                "id": h.id,
+                "zone": h.zone,
+                "kind": h.kind,
+                "cell": h.cell,
+                "state": WORD[h.state],
+                "weight": h.weight,
+                "started_ms": h.started * 1000,
+                **({"addr": write_address(address)} if address else {}),
+            }
+            for h, address in self.list.values()
+        ]
         heard = time.time() - (self.age() or 0.0)
         try:
             with self.kept.locked():
-                self.kept.write(json.dumps({"at": heard, "version": self.newest, "epoch": self.epoch,
-                                            "full": True, "servers": servers, **self.kind()}))
+                self.kept.write(
+                    json.dumps(
+                        {
+                            "at": heard,
+                            "version": self.newest,
+                            "epoch": self.epoch,
+                            "full": True,
+                            "servers": servers,
+                            **self.kind(),
+                        }
+                    )
+                )
         except OSError as err:
             log.error("%s: %s; the list is not kept", self.kept.path, err)
 
--- a/calicomast/net/resp.py
+++ b/calicomast/net/resp.py
@@ -67,7 +67,7 @@
                     return
                 if length > SMALL + 2 and self.at_large():
                     self.reader.feed(data[:at])
-                    self.begun, self.held, self.line, self.skip = length - 2, data[end + 2:], b"", 0
+                    self.begun, self.held, self.line, self.skip = length - 2, data[end + 2 :], b"", 0
                     return
             head, at = at, end + 2 + length
             if length and not data.startswith(END, at - 2) and not ends(data, at):
@@ -123,7 +123,7 @@
     def piece(self, data: bytes) -> bytes:
         """Passes on what belongs to the large string; what stands behind it."""
         assert self.sink is not None
-        taken = data[:self.left] if len(data) > self.left else data
+        taken = data[: self.left] if len(data) > self.left else data
         self.left -= len(taken)
         if self.left >= 2:
             self.give(taken)
@@ -139,7 +139,7 @@
             return b""
         self.sink(END)
         self.reader.feed(PLACE)
-        return data[len(taken):]
+        return data[len(taken) :]
 
     def give(self, string: bytes) -> None:
         """To the sink, which knows the end of the string by END: no piece of the string itself is that."""
@@ -152,8 +152,14 @@
         return self.at_large() and (self.skip > 0 or self.left > 0 or self.begun > 0)
 
     def has_data(self) -> bool:
-        return (self.broken or bool(self.line) or self.skip > 0 or self.begun > 0 or self.left > 0
-                or self.reader.has_data())
+        return (
+            self.broken
+            or bool(self.line)
+            or self.skip > 0
+            or self.begun > 0
+            or self.left > 0
+            or self.reader.has_data()
+        )
 
 
 def read_count(digits: bytes) -> int | None:
@@ -165,4 +171,4 @@
 
 def ends(data: bytes, at: int) -> bool:
     """Whether the bytes before `at` are END, as far as they are in `data`: its CR may have come before it."""
-    return END.startswith(data[at - 2:at]) if at > 1 else data[:1] in (b"\n", b"")
+    return END.startswith(data[at - 2 : at]) if at > 1 else data[:1] in (b"\n", b"")
--- a/calicomast/net/views.py
+++ b/calicomast/net/views.py
@@ -89,7 +89,7 @@
 
     @staticmethod
     def name(spot: bytes) -> str:
-        return spot[PLACE:spot.index(END, PLACE)].replace(ZERO, b"\0").decode("utf-8", "surrogatepass")
+        return spot[PLACE : spot.index(END, PLACE)].replace(ZERO, b"\0").decode("utf-8", "surrogatepass")
 
     @staticmethod
     def hosts(spots: list[bytes]) -> list[bytes]:
@@ -97,12 +97,12 @@
 
     @staticmethod
     def told(spot: bytes) -> bytes:
-        return spot[spot.index(END, PLACE) + len(END) + ROUND:]
+        return spot[spot.index(END, PLACE) + len(END) + ROUND :]
 
     @staticmethod
     def named_in(spot: bytes) -> int:
         at = spot.index(END, PLACE) + len(END)
-        return int.from_bytes(spot[at:at + ROUND], "big")
+        return int.from_bytes(spot[at : at + ROUND], "big")
 
     # Hosts
 
@@ -162,8 +162,12 @@
                 yield from (ring.up, ring.draining)
 
     def leaving(self) -> list[str]:
-        return [self.name(spot) for zones in self.groups.values() for ring in zones.values()
-                for spot in ring.draining]
+        return [
+            self.name(spot)
+            for zones in self.groups.values()
+            for ring in zones.values()
+            for spot in ring.draining
+        ]
 
     def named(self, number: int) -> Iterator[list[str]]:
         """Hosts that this whole list has named, some at a time."""
@@ -176,7 +180,7 @@
     def sought(self, fits: Callable[[int], bool]) -> Iterator[list[str]]:
         for spots in [list(spots) for spots in self.lists()]:  # which may change between two of them
             for at in range(0, len(spots), LOOK):
-                yield [self.name(spot) for spot in spots[at:at + LOOK] if fits(self.named_in(spot))]
+                yield [self.name(spot) for spot in spots[at : at + LOOK] if fits(self.named_in(spot))]
 
 
 def write_host(host: api.Host, address: Address | None) -> bytes:
@@ -205,8 +209,7 @@
 
     def resize(self, size: int) -> bool:
         """Whether the view is another one now."""
-        return self.move(self.view.index, self.view.zone,
-                         min(max(self.wanted.size, size), self.wanted.most))
+        return self.move(self.view.index, self.view.zone, min(max(self.wanted.size, size), self.wanted.most))
 
     def move(self, index: int, zone: str, size: int | None = None) -> bool:
         last, self.view = self.view, replace(self.view, index=index, zone=zone, size=size or self.view.size)
@@ -214,8 +217,13 @@
 
     def told_of(self) -> dict[str, Any]:
         """What operators see of it."""
-        return {"size": self.view.size, "hosts": len(self.used), "total": self.total,
-                "by_service": self.known, "shelf": 0 if self.shelf is None else self.shelf.size()}
+        return {
+            "size": self.view.size,
+            "hosts": len(self.used),
+            "total": self.total,
+            "by_service": self.known,
+            "shelf": 0 if self.shelf is None else self.shelf.size(),
+        }
 
     def holds(self, name: str) -> bool:
         """Whether a host may come into the view: a service that tells the view alone names no others."""
@@ -223,8 +231,15 @@
 
     # Calls
 
-    async def ask(self, fetcher: Fetcher, address: Address, path: str, query: str, limit: float,
-                  early: Early | None = None) -> Listing:
+    async def ask(
+        self,
+        fetcher: Fetcher,
+        address: Address,
+        path: str,
+        query: str,
+        limit: float,
+        early: Early | None = None,
+    ) -> Listing:
         """A list as it is told; without `early` that has no effect here. `early` gets what a whole list says
         beside its hosts, and then, while it is read, those that leave of the view: it may raise. Raises what
         went wrong."""
@@ -369,8 +384,10 @@
         self.used |= now
         self.shown, shelf.touched = view, set()
         fresh = [read_host(name, text) for name, text in now.items() if last.get(name) != text]
-        gone = [(replace(read_host(name, last[name])[0], state="down"), None)
-                for name in sorted(last.keys() - now.keys())]
+        gone = [
+            (replace(read_host(name, last[name])[0], state="down"), None)
+            for name in sorted(last.keys() - now.keys())
+        ]
         if groups:
             self.total = shelf.total(view)
         told = with_hosts(listing, [*fresh, *gone])
--- a/calicomast/policy/fleet.py
+++ b/calicomast/policy/fleet.py
@@ -307,8 +307,10 @@
         rules, usual, known = self.set.rules, self.doubt.sound("", keys, now), list(self.doubt.hosts)
         some, cold = self.some(known), self.some(list(self.cold.values()))
         here = [x for x in some if x in self.servers and x not in self.gone and x not in self.banned]
-        able = {x: sound * self.cold[x].warmth(now, rules) if x in self.cold else sound
-                for x, sound in zip(here, self.doubt.sounds(here, keys, now), strict=True)}
+        able = {
+            x: sound * self.cold[x].warmth(now, rules) if x in self.cold else sound
+            for x, sound in zip(here, self.doubt.sounds(here, keys, now), strict=True)
+        }
         off = (sum(able.values()) - usual * len(able)) * (len(known) / max(1, len(some)))
         warm = {s.host.id: s.warmth(now, rules) for s in cold}
         less = sum(x * usual - usual for name, x in warm.items() if name not in self.doubt.hosts)
@@ -347,8 +349,10 @@
         if self.ahead is None:
             before = sum(n * GOLDEN % 1.0 < place for n in range(self.set.gateways))
             self.ahead = before / self.set.gateways - place
-        at, end = (bisect.bisect_left(self.ring, (int(x % 1.0 * 2 ** 63), -1), key=BY_PLACE)
-                   for x in (place, place + need / self.total))
+        at, end = (
+            bisect.bisect_left(self.ring, (int(x % 1.0 * 2**63), -1), key=BY_PLACE)
+            for x in (place, place + need / self.total)
+        )
         excess = (end - at) % len(self.ring) - need
         skip = VIEW_LEAD * need + excess / 2 + self.ahead * self.total
         return (at + max(0, round(skip))) % len(self.ring)
@@ -404,8 +408,9 @@
         s = self.servers.get(host)
         self.out -= s is not None and s.out.pop(key, None) is not None
 
-    def answered(self, now: float, event: api.Outcome, cls: api.ServiceClass | None,
-                 keys: tuple[str, ...]) -> None:
+    def answered(
+        self, now: float, event: api.Outcome, cls: api.ServiceClass | None, keys: tuple[str, ...]
+    ) -> None:
         s = self.servers.get(event.host)
         if s is None:
             return  # a late word of one that is forgotten: it tells of nobody that is here
--- a/calicomast/policy/gateway.py
+++ b/calicomast/policy/gateway.py
@@ -75,9 +75,18 @@
             del self.accounts[oldest.name]
         worth = cls.worth * plan.price * req.units
         self.worth += (GAIN if self.worth else 1.0) * (worth - self.worth)
-        job = self.jobs[req.id] = Job(req, cls, plan, acct, now, now + req.left, worth,
-                                      worth / max(self.fleet.mean[cls.name], 1e-6),
-                                      ("host", "class " + cls.name, "plan " + plan.name), self.set.limits)
+        job = self.jobs[req.id] = Job(
+            req,
+            cls,
+            plan,
+            acct,
+            now,
+            now + req.left,
+            worth,
+            worth / max(self.fleet.mean[cls.name], 1e-6),
+            ("host", "class " + cls.name, "plan " + plan.name),
+            self.set.limits,
+        )
         if req.left < 2 * TICK or self.shed(now, job):  # no check would come round in time, or no room
             self.refuse(now, job, 0.0)
         elif acct.ceiling_room(now) < req.units:
--- a/calicomast/policy/quota.py
+++ b/calicomast/policy/quota.py
@@ -101,7 +101,7 @@
         if acct.call is not None or not self.counter.usable(now):
             return
         need = sum(self.jobs[i].req.units for i in acct.waiting if i in self.jobs)
-        w = 0 if self.draining else acct.block(self.counter.price + CROWD * self.counter.slow ** 2)
+        w = 0 if self.draining else acct.block(self.counter.price + CROWD * self.counter.slow**2)
         room = acct.room(now)
         more = acct.lease < w / 2 and room > w * acct.spread and now >= acct.full_until
         due = acct.uncharged > max(1.0, CHARGE_AT * acct.allowance(now, False))
@@ -195,14 +195,18 @@
         own, shared = divmod(plan.open_limit, acct.spread)
         rate = max(acct.total, acct.used) / max(now - acct.start, acct.length / 4)
         mean = min(rate, plan.rate or rate) / max(job.req.units, 1e-9) * self.fleet.mean[job.cls.name]
-        over = 1 - sum(mean ** n * math.exp(-mean) / math.factorial(n) for n in range(plan.open_limit))
+        over = 1 - sum(mean**n * math.exp(-mean) / math.factorial(n) for n in range(plan.open_limit))
         cost = max(0.0, plan.over_cost - plan.over_worth)
         job.stage = "slot"
         if own and sum(a.open_here for a in (acct, *acct.past)) < own:
             job.slot = -1
             acct.open_here += 1
-        elif shared and ask and self.counter.usable(now) and (
-                self.rng.random() < self.counter.chance(max(over, SIDE_CALL) * cost)):
+        elif (
+            shared
+            and ask
+            and self.counter.usable(now)
+            and (self.rng.random() < self.counter.chance(max(over, SIDE_CALL) * cost))
+        ):
             self.count_open(acct, int(now / OPEN_EPOCH) + 1, 1, job)
             self.look(job.deadline, job)
             return
--- a/calicomast/registry/config.py
+++ b/calicomast/registry/config.py
@@ -45,8 +45,14 @@
         learn = told.get("learn_ms", 0 if hosts else LEARN * 1000)
         if type(learn) not in (int, float) or not 0 <= learn <= 3_600_000:
             raise ValueError(f"learn_ms is {learn!r}, not a number from 0 to 3600000")
-        return Config(read_address(told["listen"]), Path(hosts) if hosts else None, watchers, learn / 1000,
-                      membership_of(told["membership"]) if "membership" in told else None, views)
+        return Config(
+            read_address(told["listen"]),
+            Path(hosts) if hosts else None,
+            watchers,
+            learn / 1000,
+            membership_of(told["membership"]) if "membership" in told else None,
+            views,
+        )
 
 
 def membership_of(told: Any) -> Any:
@@ -71,8 +77,9 @@
         raise ValueError("an entry must be an object")
     entry = {"id": name, **told} if name else told
     for key, (kind, fits, allowed) in ENTRY.items():
-        if key in entry and (not isinstance(entry[key], kind) or isinstance(entry[key], bool)
-                             or not fits(entry[key])):
+        if key in entry and (
+            not isinstance(entry[key], kind) or isinstance(entry[key], bool) or not fits(entry[key])
+        ):
             raise ValueError(f"{key} is {str(entry[key])[:80]!r}, not {allowed}")
     if name is not None and entry["id"] != name:
         raise ValueError(f"id is {entry['id']!r}, and the call names {name!r}")
@@ -92,8 +99,8 @@
     "addr": (str, is_word, "HOST:PORT"),
     "zone": (str, lambda v: len(v) <= 128, "a text of at most 128 characters"),
     "kind": (str, lambda v: len(v) <= 128, "a text of at most 128 characters"),
-    "cell": (int, lambda v: abs(v) < 2 ** 31, "a whole number"),
+    "cell": (int, lambda v: abs(v) < 2**31, "a whole number"),
     "state": (str, lambda v: v in STATES[:2], "up or draining"),
     "weight": (int | float, lambda v: 0 < v < 1e9, "a number above 0"),
-    "started_ms": (int, lambda v: 0 <= v < 2 ** 53, "milliseconds of Unix time"),
+    "started_ms": (int, lambda v: 0 <= v < 2**53, "milliseconds of Unix time"),
 }
--- a/calicomast/registry/core.py
+++ b/calicomast/registry/core.py
@@ -268,8 +268,11 @@
 
     def due(self) -> float:
         """When tick() is to be called next."""
-        return -math.inf if self.views.ready else min(
-            self.look_at, self.wake_at, self.ends[0][0] if self.ends else math.inf)
+        return (
+            -math.inf
+            if self.views.ready
+            else min(self.look_at, self.wake_at, self.ends[0][0] if self.ends else math.inf)
+        )
 
     # Watches
 
@@ -339,8 +342,11 @@
             _, _, key = heapq.heappop(self.ends)
             if key in self.watches:
                 watch = self.watches[key]
-                told.append(self.answer(key, watch.index) if watch.view is None else self.tell(
-                    key, self.views.ask(now, watch.view, self.version), watch.index))
+                told.append(
+                    self.answer(key, watch.index)
+                    if watch.view is None
+                    else self.tell(key, self.views.ask(now, watch.view, self.version), watch.index)
+                )
                 self.unpark(key)
         return told
 
@@ -359,8 +365,9 @@
         """The whole view. Raises TooMany."""
         return self.tell(key, self.views.ask(now, view, self.version), None)
 
-    def watch_view(self, now: float, key: object, view: View, index: int, wait: float,
-                   epoch: str | None) -> Answer | None:
+    def watch_view(
+        self, now: float, key: object, view: View, index: int, wait: float, epoch: str | None
+    ) -> Answer | None:
         """As watch(), within a view: what changed, entered or left. Raises TooMany."""
         live = self.views.ask(now, view, self.version)
         if (epoch is not None and epoch != self.epoch) or not live.base <= index <= self.version:
@@ -381,6 +388,9 @@
         """A part of those that changes concern; the rest in the next ticks, so that none of them is long."""
         told = []
         for live in self.views.woken(SLICE, self.version):
-            told += [self.tell(key, live, self.watches[key].index) for key in live.keys
-                     if self.watches[key].index < live.marked]
+            told += [
+                self.tell(key, live, self.watches[key].index)
+                for key in live.keys
+                if self.watches[key].index < live.marked
+            ]
         return told
--- a/calicomast/registry/service.py
+++ b/calicomast/registry/service.py
@@ -37,8 +37,9 @@
 class Service:
     def __init__(self, config: Config, registry: Registry, clock: Callable[[], float] = monotonic) -> None:
         self.config, self.registry, self.clock = config, registry, clock
-        self.server = web.Server(self.call, access_log=None, handler_cancellation=True,
-                                 max_line_size=MOST_QUERY)
+        self.server = web.Server(
+            self.call, access_log=None, handler_cancellation=True, max_line_size=MOST_QUERY
+        )
         self.listener: asyncio.Server | None = None
         self.waiting: dict[object, asyncio.Future[Answer]] = {}
         self.encoded: dict[tuple[object, ...], bytes] = {}  # of the version that is told now
@@ -88,8 +89,11 @@
                 waiter.set_result(answer)
         held = len(self.registry.held)
         if bool(held) != bool(self.guarded):
-            log.warning("self-preservation %s: %d hosts have lapsed and stay listed",
-                        "begins" if held else "ends", held)
+            log.warning(
+                "self-preservation %s: %d hosts have lapsed and stay listed",
+                "begins" if held else "ends",
+                held,
+            )
         self.guarded = held
         if self.timer is not None:
             self.timer.cancel()
@@ -133,11 +137,14 @@
         if self.clock() < self.learned_at:
             return refuse(503, "hosts are still coming back after the start")
         if "index" not in query:
-            answer = (self.registry.answer(None, None) if view is None
-                      else self.registry.view(self.clock(), None, view))
+            answer = (
+                self.registry.answer(None, None)
+                if view is None
+                else self.registry.view(self.clock(), None, view)
+            )
         else:
             index = whole("index", query["index"])
-            wait = min(whole("wait", query.get("wait", "0")), 2 ** 31) / 1000
+            wait = min(whole("wait", query.get("wait", "0")), 2**31) / 1000
             if len(self.waiting) >= self.config.watchers and wait > 0:
                 return refuse(503, "too many watches")
             answer = await self.watch(index, wait, query.get("epoch"), view)
@@ -145,8 +152,11 @@
 
     async def watch(self, index: int, wait: float, epoch: str | None, view: View | None) -> Answer:
         key = object()
-        answer = (self.registry.watch(self.clock(), key, index, wait, epoch) if view is None
-                  else self.registry.watch_view(self.clock(), key, view, index, wait, epoch))
+        answer = (
+            self.registry.watch(self.clock(), key, index, wait, epoch)
+            if view is None
+            else self.registry.watch_view(self.clock(), key, view, index, wait, epoch)
+        )
         if answer is not None:
             return answer
         waiter = self.waiting[key] = asyncio.get_running_loop().create_future()
@@ -188,7 +198,7 @@
     # Hosts that register themselves
 
     async def told(self, request: web.BaseRequest) -> web.Response:
-        name, _, act = request.path[len(HOSTS):].partition("/")
+        name, _, act = request.path[len(HOSTS) :].partition("/")
         now, registry = self.clock(), self.registry
         if request.method == "PUT" and not act:
             body = await read_body(request, MOST_BODY, BODY_WITHIN)
@@ -209,11 +219,15 @@
 
     def status(self) -> dict[str, Any]:
         entries = self.registry.entries.values()
-        return {"epoch": self.registry.epoch, "version": self.registry.version,
-                "hosts": {state: count(entries, state) for state in ("up", "draining", "removed")},
-                "registered": sum(1 for e in entries if e.ttl and e.host.state != "removed"),
-                "watches": len(self.waiting), "views": len(self.registry.views.lives),
-                "self_preservation": sorted(self.registry.held)}
+        return {
+            "epoch": self.registry.epoch,
+            "version": self.registry.version,
+            "hosts": {state: count(entries, state) for state in ("up", "draining", "removed")},
+            "registered": sum(1 for e in entries if e.ttl and e.host.state != "removed"),
+            "watches": len(self.waiting),
+            "views": len(self.registry.views.lives),
+            "self_preservation": sorted(self.registry.held),
+        }
 
     async def close(self) -> None:
         if self.timer is not None:
@@ -254,7 +268,7 @@
     if not isinstance(told, dict):
         raise ValueError("a registration must be an object")
     incarnation, ttl = told.pop("incarnation", None), told.pop("ttl_ms", None)
-    if type(incarnation) is not int or not 0 <= incarnation < 2 ** 53:
+    if type(incarnation) is not int or not 0 <= incarnation < 2**53:
         raise ValueError("incarnation must be a whole number that grows with each life of the host")
     if type(ttl) is not int or not TTL_LEAST * 1000 <= ttl <= TTL_MOST * 1000:
         raise ValueError(f"ttl_ms must be a whole number, {TTL_LEAST * 1000:.0f} to {TTL_MOST * 1000:.0f}")
--- a/calicomast/settings.py
+++ b/calicomast/settings.py
@@ -12,8 +12,14 @@
 
 EFFECT = {"pure": "safe", "token": "keyed", "side_effect": "unsafe"}
 DISCOVERY = {"pushed": "push", "on_request": "ask"}
-REPORT = {"active": "inflight", "waiting": "queue", "cpu": "util", "avg_ms": "latency", "rps": "rps",
-          "err_rps": "errors"}
+REPORT = {
+    "active": "inflight",
+    "waiting": "queue",
+    "cpu": "util",
+    "avg_ms": "latency",
+    "rps": "rps",
+    "err_rps": "errors",
+}
 BOOL = {"true": True, "1": True, "false": False, "0": False}
 NS = 1e9
 
@@ -40,41 +46,79 @@
 
 
 def read_settings(t: dict[str, Any]) -> api.Settings:
-    classes = {c["name"]: api.ServiceClass(
-        name=c["name"], aim=seconds(c["slo"]), deadline=seconds(c["deadline"]), effect=EFFECT[c["effect"]],
-        scope=c.get("dedup_scope", "all"), memory=seconds(c.get("memory_span", "0")), worth=float(c["gain"]),
-        late_worth=_num(c, "late_value"), stream=flag(c, "streaming"), aim_stretch=_num(c, "aim_stretch"),
-    ) for c in _items(t["services"])}
-    plans = {p["name"]: api.Plan(
-        name=p["name"], rate=_num(p, "rate"), burst=_num(p, "most_at_once"),
-        open_limit=int(_num(p, "parallel")), price=float(p.get("value_factor", 1)),
-        over_worth=_num(p, "beyond_earns"), over_cost=_num(p, "over_cost"), ceiling_rate=_num(p, "cap_rate"),
-        ceiling_burst=_num(p, "cap_depth"), ceiling_slack=_num(p, "hard_slack"),
-    ) for p in _items(t["plans"])}
+    classes = {
+        c["name"]: api.ServiceClass(
+            name=c["name"],
+            aim=seconds(c["slo"]),
+            deadline=seconds(c["deadline"]),
+            effect=EFFECT[c["effect"]],
+            scope=c.get("dedup_scope", "all"),
+            memory=seconds(c.get("memory_span", "0")),
+            worth=float(c["gain"]),
+            late_worth=_num(c, "late_value"),
+            stream=flag(c, "streaming"),
+            aim_stretch=_num(c, "aim_stretch"),
+        )
+        for c in _items(t["services"])
+    }
+    plans = {
+        p["name"]: api.Plan(
+            name=p["name"],
+            rate=_num(p, "rate"),
+            burst=_num(p, "most_at_once"),
+            open_limit=int(_num(p, "parallel")),
+            price=float(p.get("value_factor", 1)),
+            over_worth=_num(p, "beyond_earns"),
+            over_cost=_num(p, "over_cost"),
+            ceiling_rate=_num(p, "cap_rate"),
+            ceiling_burst=_num(p, "cap_depth"),
+            ceiling_slack=_num(p, "hard_slack"),
+        )
+        for p in _items(t["plans"])
+    }
     lim, rules, spec = t["limits"], t["rules"], t["specifics"]
     names = t.get("reporting", {}).get("names", "")
     return api.Settings(
-        index=int(t["index"]), gateways=int(t["group_size"]), zone=t["locality"],
-        classes=classes, plans=plans,
+        index=int(t["index"]),
+        gateways=int(t["group_size"]),
+        zone=t["locality"],
+        classes=classes,
+        plans=plans,
         limits=api.Limits(
-            cancel=flag(lim, "cancel"), second_copies=flag(lim, "second_copies"),
-            probes=flag(lim, "probes"), peers=flag(lim, "peers"), retry_after=flag(lim, "retry_after"),
+            cancel=flag(lim, "cancel"),
+            second_copies=flag(lim, "second_copies"),
+            probes=flag(lim, "probes"),
+            peers=flag(lim, "peers"),
+            retry_after=flag(lim, "retry_after"),
             max_attempts=int(lim["max_attempts"]),
-            max_retry_after=seconds(lim.get("max_retry_after", "0"))),
+            max_retry_after=seconds(lim.get("max_retry_after", "0")),
+        ),
         rules=api.Rules(
-            answer_slack=seconds(rules["answer_slack"]), drain_grace=seconds(rules["drain_grace"]),
-            cold_share=float(rules["start_capacity"]), cold_time=seconds(rules["cold"]),
-            fall_multiple=float(rules["fall_multiple"]), fall_time=seconds(rules["tip_after"]),
-            ask_within=seconds(rules.get("must_ask_in", "0"))),
+            answer_slack=seconds(rules["answer_slack"]),
+            drain_grace=seconds(rules["drain_grace"]),
+            cold_share=float(rules["start_capacity"]),
+            cold_time=seconds(rules["cold"]),
+            fall_multiple=float(rules["fall_multiple"]),
+            fall_time=seconds(rules["tip_after"]),
+            ask_within=seconds(rules.get("must_ask_in", "0")),
+        ),
         prices={k: float(v) for k, v in t.get("prices", {}).items()},
-        counter=flag(spec, "shared_counter"), counter_price=_num(spec, "counter_price"),
+        counter=flag(spec, "shared_counter"),
+        counter_price=_num(spec, "counter_price"),
         counter_timeout=seconds(spec.get("counter_timeout", "0")),
-        meter_period=seconds(spec.get("meter_period", "0")), settles=flag(spec, "settles"),
-        most_units=float(spec.get("units_top", 1)), discovery=DISCOVERY[t["registry_mode"]],
-        reports=tuple(REPORT[n] for n in _names(names) if n in REPORT), weights=t.get("weights", "none"))
+        meter_period=seconds(spec.get("meter_period", "0")),
+        settles=flag(spec, "settles"),
+        most_units=float(spec.get("units_top", 1)),
+        discovery=DISCOVERY[t["registry_mode"]],
+        reports=tuple(REPORT[n] for n in _names(names) if n in REPORT),
+        weights=t.get("weights", "none"),
+    )
 
 
 def read_report(pairs: Iterable[tuple[str, str] | list[str]]) -> dict[str, float]:
     """The fields of a load report that are known and have a value; latency in seconds."""
-    return {REPORT[name]: float(value) / 1000 if name == "avg_ms" else float(value)
-            for name, value in pairs if name in REPORT and value}
+    return {
+        REPORT[name]: float(value) / 1000 if name == "avg_ms" else float(value)
+        for name, value in pairs
+        if name in REPORT and value
+    }
--- a/calicomast/standins/discovery.py
+++ b/calicomast/standins/discovery.py
@@ -75,8 +75,11 @@
             raw, self.raw = self.raw, None
             return web.Response(text=raw)
         full = "index" not in request.query
-        servers = self.servers if full else await self.watch(
-            int(request.query["index"]), int(request.query["wait"]) / 1000)
+        servers = (
+            self.servers
+            if full
+            else await self.watch(int(request.query["index"]), int(request.query["wait"]) / 1000)
+        )
         return web.json_response({"version": self.version, "full": full, "servers": servers})
 
     def status(self) -> dict[str, Any]:
--- a/calicomast/standins/host.py
+++ b/calicomast/standins/host.py
@@ -117,8 +117,14 @@
 async def stay_registered(place: str, name: str, zone: str, port: Callable[[], int]) -> None:
     """Registers a host with the list service at `place` and renews that; it drains when this is cancelled."""
     base, incarnation = f"http://{place}/v1/hosts/{name}", int(time.time() * 1000)
-    body = {"addr": f"127.0.0.1:{port()}", "zone": zone, "kind": "stand-in", "started_ms": incarnation,
-            "incarnation": incarnation, "ttl_ms": int(TTL * 1000)}
+    body = {
+        "addr": f"127.0.0.1:{port()}",
+        "zone": zone,
+        "kind": "stand-in",
+        "started_ms": incarnation,
+        "incarnation": incarnation,
+        "ttl_ms": int(TTL * 1000),
+    }
     async with aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=1.0)) as session:
         known = False
         try:
--- a/calicomast/standins/service.py
+++ b/calicomast/standins/service.py
@@ -127,8 +127,12 @@
         await self.runner.cleanup()
 
 
-async def run(stand_in: StandIn, listen: tuple[str, int], control: tuple[str, int],
-              beside: Callable[[], Any] | None = None) -> None:
+async def run(
+    stand_in: StandIn,
+    listen: tuple[str, int],
+    control: tuple[str, int],
+    beside: Callable[[], Any] | None = None,
+) -> None:
     """Until SIGTERM or SIGINT. The first line printed is {"listen": ..., "control": ...}, as JSON; `beside`
     makes a task that lives as long."""
     told, loop = asyncio.Event(), asyncio.get_running_loop()
--- a/tests/commands.py
+++ b/tests/commands.py
@@ -15,15 +15,22 @@
 class Command:
     """A process of the command; `left` tells what still runs of all that it started."""
 
-    def __init__(self, *args, cwd=ROOT, program=(sys.executable, "-m", "calicomast.cli"), scratch=None,
-                 env=None):
+    def __init__(
+        self, *args, cwd=ROOT, program=(sys.executable, "-m", "calicomast.cli"), scratch=None, env=None
+    ):
         self.mark, self.scratch = uuid.uuid4().hex, scratch
         env = {**os.environ, **(env or {}), "CINDER_TEST": self.mark}
         if scratch:
             env["TMPDIR"] = str(scratch)
         self.process = subprocess.Popen(
-            [*program, *args], cwd=cwd, env=env, text=True, stdout=subprocess.PIPE, stderr=subprocess.PIPE,
-            start_new_session=True)
+            [*program, *args],
+            cwd=cwd,
+            env=env,
+            text=True,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+            start_new_session=True,
+        )
 
     def left(self):
         """Command lines by process id; those that have ended and are not waited for yet do not count."""
@@ -44,6 +51,7 @@
 
     def asking(self):
         """Waits until a gateway of the demo has clients."""
+
         def clients():
             try:
                 (file,) = self.scratch.glob("cinderrouter-*/gateway-0.json")
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -10,22 +10,58 @@
 
 
 def plan(name="p", **kw):
-    base = dict(rate=2.0, burst=8.0, open_limit=0, price=1.0, over_worth=0.0, over_cost=1.0,
-                ceiling_rate=0.0, ceiling_burst=0.0, ceiling_slack=0.0)
+    base = dict(
+        rate=2.0,
+        burst=8.0,
+        open_limit=0,
+        price=1.0,
+        over_worth=0.0,
+        over_cost=1.0,
+        ceiling_rate=0.0,
+        ceiling_burst=0.0,
+        ceiling_slack=0.0,
+    )
     return api.Plan(name, **{**base, **kw})
 
 
 def settings(plans=None, limits=None, rules=None, **kw):
-    lim = dict(cancel=True, second_copies=True, probes=False, peers=False, retry_after=True,
-               max_attempts=4, max_retry_after=1.0)
-    rul = dict(answer_slack=0.01, drain_grace=1.0, cold_share=0.2, cold_time=10.0, fall_multiple=2.0,
-               fall_time=2.0, ask_within=10.0)
-    base = dict(index=0, gateways=2, zone="z1", classes={c.name: c for c in (READ, WRITE, CELL, NOTE)},
-                plans={p.name: p for p in (plans or [plan()])},
-                limits=api.Limits(**{**lim, **(limits or {})}),
-                rules=api.Rules(**{**rul, **(rules or {})}), prices={"cross_zone": 0.02}, counter=True,
-                counter_price=0.01, counter_timeout=0.05, meter_period=0.0, settles=False, most_units=4.0,
-                discovery="push", reports=("queue",), weights="none")
+    lim = dict(
+        cancel=True,
+        second_copies=True,
+        probes=False,
+        peers=False,
+        retry_after=True,
+        max_attempts=4,
+        max_retry_after=1.0,
+    )
+    rul = dict(
+        answer_slack=0.01,
+        drain_grace=1.0,
+        cold_share=0.2,
+        cold_time=10.0,
+        fall_multiple=2.0,
+        fall_time=2.0,
+        ask_within=10.0,
+    )
+    base = dict(
+        index=0,
+        gateways=2,
+        zone="z1",
+        classes={c.name: c for c in (READ, WRITE, CELL, NOTE)},
+        plans={p.name: p for p in (plans or [plan()])},
+        limits=api.Limits(**{**lim, **(limits or {})}),
+        rules=api.Rules(**{**rul, **(rules or {})}),
+        prices={"cross_zone": 0.02},
+        counter=True,
+        counter_price=0.01,
+        counter_timeout=0.05,
+        meter_period=0.0,
+        settles=False,
+        most_units=4.0,
+        discovery="push",
+        reports=("queue",),
+        weights="none",
+    )
     return api.Settings(**{**base, **kw})
 
 
@@ -71,8 +107,11 @@
         return acts
 
     def end(self, send, result="ok", attempt=0, final=None, elapsed=0.05, **kw):
-        return self.do(api.Outcome(send.id, attempt, send.host, result, elapsed,
-                                   result == "ok" if final is None else final, **kw))
+        return self.do(
+            api.Outcome(
+                send.id, attempt, send.host, result, elapsed, result == "ok" if final is None else final, **kw
+            )
+        )
 
 
 def of(acts, kind):
--- a/tests/measure/changes.py
+++ b/tests/measure/changes.py
@@ -25,8 +25,10 @@
 
 PLANS, HOSTS = 200, 200
 SECONDS, EVERY, CLIENTS = 4.0, 0.05, 8
-LARGE = SETTINGS | {"plans": [{"name": f"p{n}", "rate": 1e6, "most_at_once": 1e7} for n in range(PLANS)]
-                    + [{"name": "p", "rate": 1e6, "most_at_once": 1e7}]}
+LARGE = SETTINGS | {
+    "plans": [{"name": f"p{n}", "rate": 1e6, "most_at_once": 1e7} for n in range(PLANS)]
+    + [{"name": "p", "rate": 1e6, "most_at_once": 1e7}]
+}
 
 
 def spread(name, values, unit):
@@ -112,6 +114,7 @@
 
 def many(folder, count):
     """Bytes by which the process grows in each half of so many changes."""
+
     async def run():
         async with StubHost() as host, Node(host, path=folder, settings=LARGE) as node:
             changes, grown = node.node.changes, [resident()]
@@ -122,6 +125,7 @@
                     await changes.apply(json.dumps(tree).encode(), changes.history.newest.number, None)
                 grown.append(resident())
             return grown[1] - grown[0], grown[2] - grown[1]
+
     return uvloop.run(run())
 
 
@@ -151,8 +155,10 @@
         spread("CPU of a start without a second address", rows["off"], "s")
         spread("CPU of a start with one", rows["on"], "s")
         first, second = many(folder, 1000)
-        print(f"memory over 1000 changes: {first / 1024:.0f} KiB more in the first half, "
-              f"{second / 1024:.0f} KiB in the second")
+        print(
+            f"memory over 1000 changes: {first / 1024:.0f} KiB more in the first half, "
+            f"{second / 1024:.0f} KiB in the second"
+        )
     print(f"largest this process was: {resource.getrusage(resource.RUSAGE_SELF).ru_maxrss} KiB")
 
 
--- a/tests/measure/gateway_view.py
+++ b/tests/measure/gateway_view.py
@@ -33,9 +33,16 @@
 
 
 def entry(n, state="up"):
-    return {"id": f"s-{n:08x}", "addr": f"10.{n // 65536}.{n // 256 % 256}.{n % 256}:6379",
-            "zone": ZONES[n % len(ZONES)], "kind": f"svc-{n // len(ZONES) % SERVICES}", "cell": n % 7,
-            "state": state, "weight": 1.0, "started_ms": 0}
+    return {
+        "id": f"s-{n:08x}",
+        "addr": f"10.{n // 65536}.{n // 256 % 256}.{n % 256}:6379",
+        "zone": ZONES[n % len(ZONES)],
+        "kind": f"svc-{n // len(ZONES) % SERVICES}",
+        "cell": n % 7,
+        "state": state,
+        "weight": 1.0,
+        "started_ms": 0,
+    }
 
 
 class Program:
@@ -46,8 +53,13 @@
 
     async def start(self):
         self.program = await asyncio.create_subprocess_exec(
-            sys.executable, *self.args, stderr=subprocess.PIPE, stdin=subprocess.PIPE, limit=2 ** 20,
-            env={**os.environ, "PYTHONPATH": str(ROOT), **self.env})
+            sys.executable,
+            *self.args,
+            stderr=subprocess.PIPE,
+            stdin=subprocess.PIPE,
+            limit=2**20,
+            env={**os.environ, "PYTHONPATH": str(ROOT), **self.env},
+        )
         while True:
             line = (await self.program.stderr.readline()).decode()
             if not line:
@@ -95,7 +107,7 @@
         there, out = await asyncio.open_connection("127.0.0.1", self.there)
 
         async def back():
-            while data := await there.read(2 ** 18):
+            while data := await there.read(2**18):
                 self.bytes += len(data)
                 writer.write(data)
                 await writer.drain()
@@ -141,8 +153,9 @@
     reader, writer = lines
     told = {name: value for name, value in entry(n).items() if name not in ("id", "state", "started_ms")}
     body = json.dumps(told | {"incarnation": incarnation, "ttl_ms": 600_000}).encode()
-    writer.write(b"PUT /v1/hosts/s-%08x HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s"
-                 % (n, len(body), body))
+    writer.write(
+        b"PUT /v1/hosts/s-%08x HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s" % (n, len(body), body)
+    )
     head = await reader.readuntil(b"\r\n\r\n")
     await reader.readexactly(int(head.lower().split(b"content-length: ")[1].split(b"\r\n")[0]))
     if b" 200 " not in head.split(b"\r\n")[0]:
@@ -172,8 +185,9 @@
 async def play(count, stand_in, view, span):
     with tempfile.TemporaryDirectory() as name:
         folder = Path(name)
-        service = await (Program(__file__, "--stand-in", str(count)).start() if stand_in
-                         else list_service(folder, count))
+        service = await (
+            Program(__file__, "--stand-in", str(count)).start() if stand_in else list_service(folder, count)
+        )
         relay = await Relay(service.port).start()
         settings = {**SETTINGS, "rules": {**SETTINGS["rules"], "drain_grace": GRACE}}
         tree = told([], relay.port, 1, settings) | {"control": "127.0.0.1:0"}
@@ -185,8 +199,9 @@
         file = folder / "gateway.json"
         file.write_text(json.dumps(tree))
         began = time.monotonic()
-        gateway = await Program("-m", "calicomast.net", env={"RELAY_CONFIG": str(file), "TMPDIR": name},
-                                word="calls are taken").start()
+        gateway = await Program(
+            "-m", "calicomast.net", env={"RELAY_CONFIG": str(file), "TMPDIR": name}, word="calls are taken"
+        ).start()
         while True:
             seen = (await control(gateway.port, "GET /status"))[1]
             if seen.get("list", {}).get("version") and seen["hosts"]:
@@ -210,12 +225,22 @@
         await gateway.stop()
         await service.stop()
         relay.server.close()
-        return {"hosts": count, "service": "stand-in" if stand_in else "list service", "view": view or "none",
-                "in_view": len(own), "ready_s": round(took, 2), "told_kB": round(told_by / 1000, 1),
-                "rss_MB": round(memory[0], 1), "most_MB": round(memory[1], 1),
-                "rest_cpu_%": round(quiet[0], 2), "rest_B_s": round(quiet[1]),
-                "outside_cpu_%": round(far[0], 2), "outside_B_s": round(far[1]),
-                "inside_cpu_%": round(near[0], 2), "inside_B_s": round(near[1])}
+        return {
+            "hosts": count,
+            "service": "stand-in" if stand_in else "list service",
+            "view": view or "none",
+            "in_view": len(own),
+            "ready_s": round(took, 2),
+            "told_kB": round(told_by / 1000, 1),
+            "rss_MB": round(memory[0], 1),
+            "most_MB": round(memory[1], 1),
+            "rest_cpu_%": round(quiet[0], 2),
+            "rest_B_s": round(quiet[1]),
+            "outside_cpu_%": round(far[0], 2),
+            "outside_B_s": round(far[1]),
+            "inside_cpu_%": round(near[0], 2),
+            "inside_B_s": round(near[1]),
+        }
 
 
 def main():
--- a/tests/measure/loop.py
+++ b/tests/measure/loop.py
@@ -60,8 +60,14 @@
                 self.longest = max(self.longest, time.perf_counter() - self.began)
 
     def status(self):
-        told = {"held": self.held, "full": self.full, "longest": self.longest, "freed": self.freed,
-                "watches": len(self.waiting), "frozen": gc.get_freeze_count()}
+        told = {
+            "held": self.held,
+            "full": self.full,
+            "longest": self.longest,
+            "freed": self.freed,
+            "watches": len(self.waiting),
+            "frozen": gc.get_freeze_count(),
+        }
         told["left"] = gc.collect()
         self.held = self.full = self.longest = self.freed = 0.0
         return told
@@ -102,8 +108,10 @@
 
 async def call(port, method, path, body=b""):
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
-    writer.write(b"%s %s HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s" % (
-        method.encode(), path.encode(), len(body), body))
+    writer.write(
+        b"%s %s HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s"
+        % (method.encode(), path.encode(), len(body), body)
+    )
     head = await reader.readuntil(b"\r\n\r\n")
     told = await reader.readexactly(int(head.lower().split(b"content-length: ")[1].split(b"\r\n")[0]))
     writer.close()
@@ -112,31 +120,44 @@
 
 async def phase(name, service, port, cpu):
     seen, used = await call(port, "GET", "/status"), service.cpu()
-    print(f"{name}: the loop held for {seen['held'] * 1000:.0f} ms at most; {seen['full']:.0f} full "
-          f"collections, the longest {seen['longest'] * 1000:.0f} ms, {seen['freed']:.0f} objects freed, "
-          f"{seen['left']} left, {seen['frozen']} frozen; {used - cpu:.2f} s of CPU, "
-          f"{service.memory()[0]:.0f} MB", flush=True)
+    print(
+        f"{name}: the loop held for {seen['held'] * 1000:.0f} ms at most; {seen['full']:.0f} full "
+        f"collections, the longest {seen['longest'] * 1000:.0f} ms, {seen['freed']:.0f} objects freed, "
+        f"{seen['left']} left, {seen['frozen']} frozen; {used - cpu:.2f} s of CPU, "
+        f"{service.memory()[0]:.0f} MB",
+        flush=True,
+    )
     return used
 
 
 def entry(n, **kw):
-    return {"id": f"s-{n:08x}", "addr": f"10.{n // 62500}.{n // 250 % 250}.{n % 250}:6379",
-            "zone": ZONES[n // KINDS % 6], "kind": f"svc-{n % KINDS}", "cell": n % 7} | kw
+    return {
+        "id": f"s-{n:08x}",
+        "addr": f"10.{n // 62500}.{n // 250 % 250}.{n % 250}:6379",
+        "zone": ZONES[n // KINDS % 6],
+        "kind": f"svc-{n % KINDS}",
+        "cell": n % 7,
+    } | kw
 
 
 async def play(gateways, hosts, changes):
     with tempfile.TemporaryDirectory() as name:
         file, config = Path(name) / "hosts.json", Path(name) / "registry.json"
         file.write_text(json.dumps({"servers": [entry(n) for n in range(hosts) if n % 20]}))
-        config.write_text(json.dumps({"listen": "127.0.0.1:0", "hosts": str(file),
-                                      "watchers": gateways + 100}))
+        config.write_text(
+            json.dumps({"listen": "127.0.0.1:0", "hosts": str(file), "watchers": gateways + 100})
+        )
         service = await Program(__file__, "--serve", env={"REGISTRY_CONFIG": str(config)}).start()
         port, rng = service.port, random.Random(1)
 
         async def register(n, weight):
             told = {k: v for k, v in entry(n, weight=weight).items() if k != "id"}
-            await call(port, "PUT", f"/v1/hosts/{entry(n)['id']}",
-                       json.dumps(told | {"incarnation": 1, "ttl_ms": 3_600_000}).encode())
+            await call(
+                port,
+                "PUT",
+                f"/v1/hosts/{entry(n)['id']}",
+                json.dumps(told | {"incarnation": 1, "ttl_ms": 3_600_000}).encode(),
+            )
 
         try:
             for n in range(0, hosts, 20):
@@ -144,7 +165,7 @@
             cpu = await phase(f"{hosts} hosts there", service, port, 0.0)
             all_ = [Gateway(port, n) for n in range(gateways)]
             for n in range(0, gateways, PART):
-                await asyncio.gather(*(one.open() for one in all_[n:n + PART]))
+                await asyncio.gather(*(one.open() for one in all_[n : n + PART]))
             for one in all_:
                 one.task = asyncio.create_task(one.watch())
             cpu = await phase(f"{gateways} views told whole", service, port, cpu)
@@ -161,7 +182,7 @@
                 cpu = await phase(f"{changes} changes of a host", service, port, cpu)
             for _ in range(2):
                 for n in range(0, gateways, PART):
-                    await asyncio.gather(*(one.again() for one in all_[n:n + PART]))
+                    await asyncio.gather(*(one.again() for one in all_[n : n + PART]))
                     await asyncio.sleep(0.2)
                 cpu = await phase(f"{gateways} watches end and come again", service, port, cpu)
         finally:
@@ -173,7 +194,7 @@
         config = read_config()
         sys.exit(run("registry", lambda: Watched(config, Registry("e", 1)), "lists"))
     resource.setrlimit(resource.RLIMIT_NOFILE, (resource.getrlimit(resource.RLIMIT_NOFILE)[1],) * 2)
-    gateways, hosts, changes = [*map(int, sys.argv[1:]), *(4200, 56_000, 100)[len(sys.argv) - 1:]]
+    gateways, hosts, changes = [*map(int, sys.argv[1:]), *(4200, 56_000, 100)[len(sys.argv) - 1 :]]
     uvloop.run(play(gateways, hosts, changes))
 
 
--- a/tests/measure/module.py
+++ b/tests/measure/module.py
@@ -79,12 +79,18 @@
 
 def in_view(hosts: list[api.Host], index: int, view: int) -> list[api.Host]:
     """The hosts that follow a gateway's place on the ring."""
-    place = int((index * GOLDEN) % 1.0 * 2 ** 63)
-    return sorted(hosts, key=lambda h: (stable_hash(h.id, "place") - place) % 2 ** 63)[:view]
-
-
-def measure(hosts: int, view: int | None = None, gateways: int = GATEWAYS, seconds: float = 10.0,
-            index: int = 1234, seed: int = 1) -> dict[str, float]:
+    place = int((index * GOLDEN) % 1.0 * 2**63)
+    return sorted(hosts, key=lambda h: (stable_hash(h.id, "place") - place) % 2**63)[:view]
+
+
+def measure(
+    hosts: int,
+    view: int | None = None,
+    gateways: int = GATEWAYS,
+    seconds: float = 10.0,
+    index: int = 1234,
+    seed: int = 1,
+) -> dict[str, float]:
     """CPU in ms of the module for a request with all that follows from it, and for a change of one host."""
     rng = random.Random(seed)
     conf = settings(plans=[plan(rate=10.0, burst=40.0)], gateways=gateways, index=index)
@@ -132,10 +138,19 @@
     def mean(times: list[int]) -> float:
         return sum(times) / len(times) / 1e6
 
-    return {"hosts": hosts, "view": view or 0, "gateways": gateways, "requests": asked, "sends": sent,
-            "request_ms": sum(sum(times) for times in usual.values()) / asked / 1e6,
-            "change_ms": mean(changed["change"]), "after_change_ms": mean(changed["request after a change"]),
-            "memory_mb": held / 1e6, "known": len(gateway.fleet.servers), "own": len(gateway.fleet.own)}
+    return {
+        "hosts": hosts,
+        "view": view or 0,
+        "gateways": gateways,
+        "requests": asked,
+        "sends": sent,
+        "request_ms": sum(sum(times) for times in usual.values()) / asked / 1e6,
+        "change_ms": mean(changed["change"]),
+        "after_change_ms": mean(changed["request after a change"]),
+        "memory_mb": held / 1e6,
+        "known": len(gateway.fleet.servers),
+        "own": len(gateway.fleet.own),
+    }
 
 
 def main() -> None:
@@ -147,17 +162,24 @@
     parser.add_argument("--whole", action="store_true", help="no views")
     args = parser.parse_args()
     views = not args.whole and "total" in api.HostList.__dataclass_fields__
-    shapes = [(hosts, view) for hosts in args.hosts for view in (None, VIEW)
-              if view is None or (views and hosts > view)]
+    shapes = [
+        (hosts, view)
+        for hosts in args.hosts
+        for view in (None, VIEW)
+        if view is None or (views and hosts > view)
+    ]
     runs = [[measure(*shape, seconds=args.seconds) for shape in shapes] for _ in range(args.runs)]
     for played in zip(*runs, strict=True):
         figures = played[0] | {x: min(p[x] for p in played) for x in played[0] if x.endswith("_ms")}
         if args.json:
             print(json.dumps(figures), flush=True)
         else:
-            print("{hosts:6d} hosts, view of {view:3d}: a request {request_ms:.3f} ms, a change "
-                  "{change_ms:.3f} ms, a request after one {after_change_ms:.3f} ms; {memory_mb:.1f} MB, "
-                  "uses {own} of {known}, sent {sends} of {requests}".format(**figures), flush=True)
+            print(
+                "{hosts:6d} hosts, view of {view:3d}: a request {request_ms:.3f} ms, a change "
+                "{change_ms:.3f} ms, a request after one {after_change_ms:.3f} ms; {memory_mb:.1f} MB, "
+                "uses {own} of {known}, sent {sends} of {requests}".format(**figures),
+                flush=True,
+            )
 
 
 if __name__ == "__main__":
--- a/tests/measure/registry.py
+++ b/tests/measure/registry.py
@@ -37,15 +37,34 @@
 
     async def __aenter__(self):
         hosts = self.folder / "hosts.json"
-        hosts.write_text(json.dumps({"servers": [
-            {"id": f"s-{n:08x}", "addr": f"10.1.{n // 250}.{n % 250}:6379", "zone": "hall-a",
-             "kind": "std-3core", "cell": n % 7, "state": "up", "weight": 1.0, "started_ms": 0}
-            for n in range(HOSTS)]}))
+        hosts.write_text(
+            json.dumps(
+                {
+                    "servers": [
+                        {
+                            "id": f"s-{n:08x}",
+                            "addr": f"10.1.{n // 250}.{n % 250}:6379",
+                            "zone": "hall-a",
+                            "kind": "std-3core",
+                            "cell": n % 7,
+                            "state": "up",
+                            "weight": 1.0,
+                            "started_ms": 0,
+                        }
+                        for n in range(HOSTS)
+                    ]
+                }
+            )
+        )
         config = self.folder / "registry.json"
         config.write_text(json.dumps({"listen": f"127.0.0.1:{self.port}", "hosts": str(hosts)}))
         self.program = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "calicomast.registry", stderr=subprocess.PIPE,
-            env={**os.environ, "REGISTRY_CONFIG": str(config), "PYTHONPATH": str(ROOT)})
+            sys.executable,
+            "-m",
+            "calicomast.registry",
+            stderr=subprocess.PIPE,
+            env={**os.environ, "REGISTRY_CONFIG": str(config), "PYTHONPATH": str(ROOT)},
+        )
         self.port = int((await self.program.stderr.readline()).decode().rsplit(":", 1)[1])
         return self
 
@@ -74,8 +93,11 @@
         return self
 
     async def call(self, method, path, body=b""):
-        self.writer.write(b"%s %s HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n" % (
-            method.encode(), path.encode(), len(body)) + body)
+        self.writer.write(
+            b"%s %s HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n"
+            % (method.encode(), path.encode(), len(body))
+            + body
+        )
         head = await self.reader.readuntil(b"\r\n\r\n")
         length = int(head.lower().split(b"content-length: ")[1].split(b"\r\n")[0])
         text = await self.reader.readexactly(length)
@@ -93,8 +115,9 @@
 
 
 def registration(weight, incarnation):
-    return json.dumps({"addr": "127.0.0.1:1", "weight": weight, "incarnation": incarnation,
-                       "ttl_ms": 600_000}).encode()
+    return json.dumps(
+        {"addr": "127.0.0.1:1", "weight": weight, "incarnation": incarnation, "ttl_ms": 600_000}
+    ).encode()
 
 
 async def changes(folder, whole, at_once=1):
@@ -125,6 +148,7 @@
     """Calls a second of 200 clients after the service is back, and how long until all have their list."""
     calls, told = [], set()
     async with Service(folder) as first:
+
         def listen(number):
             return lambda listing: told.add(number)
 
@@ -144,9 +168,11 @@
         except OSError:
             writer.close()
             return
+
         async def back():
             while data := await there.read(65536):
                 writer.write(data)
+
         task = asyncio.create_task(back())
         while data := await reader.read(65536):
             calls.append(time.monotonic() - began)
@@ -201,11 +227,15 @@
         for away in (2.0, 10.0):
             calls, took = uvloop.run(outage(folder, away))
             seconds = [sum(n <= at < n + 1 for at in calls) for n in range(int(max(calls)) + 1)]
-            print(f"200 clients after {away:.0f} s of outage: calls in each second {seconds}, "
-                  f"all have their list after {took:.1f} s")
+            print(
+                f"200 clients after {away:.0f} s of outage: calls in each second {seconds}, "
+                f"all have their list after {took:.1f} s"
+            )
         first, second = uvloop.run(memory(folder, 10000))
-        print(f"memory over 10000 changes: {first / 1024:.0f} KiB more in the first half, "
-              f"{second / 1024:.0f} KiB in the second")
+        print(
+            f"memory over 10000 changes: {first / 1024:.0f} KiB more in the first half, "
+            f"{second / 1024:.0f} KiB in the second"
+        )
 
 
 if __name__ == "__main__":
--- a/tests/measure/served.py
+++ b/tests/measure/served.py
@@ -102,8 +102,9 @@
         for m in self.machines.values():
             self.rings.put(m.name, "k", m.zone, True)
         self.size = min(hosts, math.ceil(VIEW_SPARE * OWN_PART * max(1.0, LIMIT_MOST * hosts / gateways)))
-        confs = [settings(plans=[BIG], gateways=gateways, index=n, zone=f"z{n % ZONES}")
-                 for n in range(gateways)]
+        confs = [
+            settings(plans=[BIG], gateways=gateways, index=n, zone=f"z{n % ZONES}") for n in range(gateways)
+        ]
         self.rules, self.version = confs[0].rules, 1
         self.gateways = [Gateway(conf, self.luck.getrandbits(32), START) for conf in confs]
         self.views = [View(n, self.size, conf.zone) for n, conf in enumerate(confs)]
@@ -177,8 +178,11 @@
         old = self.known[n]
         new, total = self.members(n)
         self.known[n] = new
-        hosts = tuple(m.listed("up" if m.name in new else "down") for m in self.machines.values()
-                      if (m.name in new) != (m.name in old))
+        hosts = tuple(
+            m.listed("up" if m.name in new else "down")
+            for m in self.machines.values()
+            if (m.name in new) != (m.name in old)
+        )
         self.tell(n, api.HostList("delta", self.version, hosts, total))
 
     def widen(self, n: int, size: int) -> None:
@@ -285,15 +289,25 @@
         last = int(LOST) - 1  # what is asked in the second before may meet the silence
         least = BELOW * self.goodput(int(WARM), last)
         below = sum(self.goodput(n, n + 1) < least for n in range(last, self.ended))
-        before = self.answers[int(WARM):int(LOST)]
-        few = sum(n < BELOW * sum(before) / len(before) for n in self.answers[int(LOST):])
-        return {"requests": self.offered, "served": self.served / ended, "refused": self.refused / ended,
-                "late": self.late / ended, "turned_away": self.turned / ended,
-                "gateway_p50_ms": 1e3 * part(self.waits, 0.5), "gateway_p99_ms": 1e3 * part(self.waits, 0.99),
-                "host_p50_ms": 1e3 * part(self.queued, 0.5), "host_p99_ms": 1e3 * part(self.queued, 0.99),
-                "largest_over_mean": max(came) * len(came) / sum(came), "hosts_with_none": came.count(0),
-                "below_s": below, "answers_below_s": few, "widened": self.widened,
-                "connections": sum(map(len, self.senders.values())) / len(self.senders)}
+        before = self.answers[int(WARM) : int(LOST)]
+        few = sum(n < BELOW * sum(before) / len(before) for n in self.answers[int(LOST) :])
+        return {
+            "requests": self.offered,
+            "served": self.served / ended,
+            "refused": self.refused / ended,
+            "late": self.late / ended,
+            "turned_away": self.turned / ended,
+            "gateway_p50_ms": 1e3 * part(self.waits, 0.5),
+            "gateway_p99_ms": 1e3 * part(self.waits, 0.99),
+            "host_p50_ms": 1e3 * part(self.queued, 0.5),
+            "host_p99_ms": 1e3 * part(self.queued, 0.99),
+            "largest_over_mean": max(came) * len(came) / sum(came),
+            "hosts_with_none": came.count(0),
+            "below_s": below,
+            "answers_below_s": few,
+            "widened": self.widened,
+            "connections": sum(map(len, self.senders.values())) / len(self.senders),
+        }
 
 
 def part(values: list[float], q: float) -> float:
@@ -304,8 +318,14 @@
     hosts, gateways, views, load, event, seed = case
     played = Play(hosts, gateways, views, load, event, seed)
     size = played.size if views else hosts
-    return {"hosts": hosts, "gateways": gateways, "told": size, "load": load, "event": event,
-            "seed": seed} | played.run()
+    return {
+        "hosts": hosts,
+        "gateways": gateways,
+        "told": size,
+        "load": load,
+        "event": event,
+        "seed": seed,
+    } | played.run()
 
 
 def used(hosts: int, views: bool) -> str:
@@ -320,29 +340,56 @@
             act(*args)
         users.update(s.host.id for s in gateway.fleet.own)
     counts = [users[name] for name in play.machines]
-    return (f"{hosts} hosts, told of {play.size if views else hosts}: a host is used by {min(counts)} to "
-            f"{max(counts)} gateways, {statistics.mean(counts):.1f} on the mean, "
-            f"deviation {statistics.pstdev(counts):.1f}")
-
-
-HEAD = ("hosts", "told", "load", "event", "served", "refused", "late", "gateway ms", "hosts' queue ms",
-        "largest/mean", "none", "s below 0.9", "by answers", "connections", "widened")
+    return (
+        f"{hosts} hosts, told of {play.size if views else hosts}: a host is used by {min(counts)} to "
+        f"{max(counts)} gateways, {statistics.mean(counts):.1f} on the mean, "
+        f"deviation {statistics.pstdev(counts):.1f}"
+    )
+
+
+HEAD = (
+    "hosts",
+    "told",
+    "load",
+    "event",
+    "served",
+    "refused",
+    "late",
+    "gateway ms",
+    "hosts' queue ms",
+    "largest/mean",
+    "none",
+    "s below 0.9",
+    "by answers",
+    "connections",
+    "widened",
+)
 
 
 def row(runs: list[dict]) -> tuple[str, ...]:
     """Means over the seeds; of counts the most."""
+
     def mean(name: str) -> float:
         return sum(run[name] for run in runs) / len(runs)
 
     first = runs[0]
-    return (str(first["hosts"]), str(first["told"]), str(first["load"]), first["event"],
-            f"{mean('served'):.3f}", f"{mean('refused'):.3f}", f"{mean('late'):.3f}",
-            f"{mean('gateway_p50_ms'):.1f} / {mean('gateway_p99_ms'):.1f}",
-            f"{mean('host_p50_ms'):.0f} / {mean('host_p99_ms'):.0f}",
-            f"{mean('largest_over_mean'):.2f}", f"{max(run['hosts_with_none'] for run in runs)}",
-            " ".join(str(run["below_s"]) for run in runs),
-            " ".join(str(run["answers_below_s"]) for run in runs), f"{mean('connections'):.1f}",
-            f"{max(run['widened'] for run in runs)}")
+    return (
+        str(first["hosts"]),
+        str(first["told"]),
+        str(first["load"]),
+        first["event"],
+        f"{mean('served'):.3f}",
+        f"{mean('refused'):.3f}",
+        f"{mean('late'):.3f}",
+        f"{mean('gateway_p50_ms'):.1f} / {mean('gateway_p99_ms'):.1f}",
+        f"{mean('host_p50_ms'):.0f} / {mean('host_p99_ms'):.0f}",
+        f"{mean('largest_over_mean'):.2f}",
+        f"{max(run['hosts_with_none'] for run in runs)}",
+        " ".join(str(run["below_s"]) for run in runs),
+        " ".join(str(run["answers_below_s"]) for run in runs),
+        f"{mean('connections'):.1f}",
+        f"{max(run['widened'] for run in runs)}",
+    )
 
 
 def main() -> None:
@@ -358,8 +405,13 @@
     if args.used:
         print("\n".join(used(hosts, views) for hosts in args.hosts for views in (False, True)))
         return
-    shapes = [(hosts, GATEWAYS[hosts], views, load, event) for hosts in args.hosts for event in args.events
-              for load in args.loads for views in (False, True)]
+    shapes = [
+        (hosts, GATEWAYS[hosts], views, load, event)
+        for hosts in args.hosts
+        for event in args.events
+        for load in args.loads
+        for views in (False, True)
+    ]
     if not args.json:
         print("| " + " | ".join(HEAD) + " |\n|" + " --- |" * len(HEAD), flush=True)
     with multiprocessing.Pool(args.processes) as pool:
--- a/tests/measure/views.py
+++ b/tests/measure/views.py
@@ -38,8 +38,10 @@
 def views_of(kinds=0):
     """Gateways of all zones in turn; each uses kinds drawn for it."""
     rng = random.Random(1)
-    return [View(n, SIZE, ZONES[n % 6], tuple(f"svc-{k}" for k in rng.sample(range(KINDS), kinds)))
-            for n in range(GATEWAYS)]
+    return [
+        View(n, SIZE, ZONES[n % 6], tuple(f"svc-{k}" for k in rng.sample(range(KINDS), kinds)))
+        for n in range(GATEWAYS)
+    ]
 
 
 def held(rings, views):
@@ -49,18 +51,26 @@
 def evenness(name, rings, views):
     counts = Counter(name for names in held(rings, views).values() for name in names)
     each = [counts[name] for name in rings.known]
-    print(f"{name}: views a host min {min(each)}, mean {statistics.mean(each):.1f}, max {max(each)}, "
-          f"standard deviation {statistics.pstdev(each):.1f}, hosts in none {each.count(0)}")
+    print(
+        f"{name}: views a host min {min(each)}, mean {statistics.mean(each):.1f}, max {max(each)}, "
+        f"standard deviation {statistics.pstdev(each):.1f}, hosts in none {each.count(0)}"
+    )
     for zone in sorted({h.zone for h in rings.known.values()}) if "uneven" in name else ():
         some = [counts[h.spot[1]] for h in rings.known.values() if h.zone == zone]
-        print(f"  zone {zone or '(none)'}: {len(some)} hosts, min {min(some)}, "
-              f"mean {statistics.mean(some):.1f}, max {max(some)}")
+        print(
+            f"  zone {zone or '(none)'}: {len(some)} hosts, min {min(some)}, "
+            f"mean {statistics.mean(some):.1f}, max {max(some)}"
+        )
 
 
-UNEVEN = {"a third in size": ("abcdefbcdefbcdef", "abcdef"), "3 to 2 to 1": ("aaabbc", "abc"),
-          "3 to 2 to 1, and so the gateways": ("aaabbc", "aaabbc"), "a tenth": ("abbbbbbbbb", "ab"),
-          "half without one": (["", "a", "", "b", "", "c", "", "d", "", "e", "", "f"], "abcdef"),
-          "one without gateways": ("abcdef", "abcde")}  # zones of hosts and of gateways
+UNEVEN = {
+    "a third in size": ("abcdefbcdefbcdef", "abcdef"),
+    "3 to 2 to 1": ("aaabbc", "abc"),
+    "3 to 2 to 1, and so the gateways": ("aaabbc", "aaabbc"),
+    "a tenth": ("abbbbbbbbb", "ab"),
+    "half without one": (["", "a", "", "b", "", "c", "", "d", "", "e", "", "f"], "abcdef"),
+    "one without gateways": ("abcdef", "abcde"),
+}  # zones of hosts and of gateways
 
 
 def uneven():
@@ -82,9 +92,11 @@
     touched = [v for v in views if before[v] != after[v]]
     others = sum(len(before[v] - after[v] - gone) for v in views)
     gained = sum(len(after[v] - before[v]) for v in views)
-    print(f"{name}: {len(touched)} views change, {gained} hosts enter (of {sum(map(len, before.values()))} "
-          f"held, {gained / sum(map(len, before.values())):.4%}), {others} leave that still exist; "
-          f"largest change of a view {max([len(after[v] ^ before[v]) for v in touched], default=0)}")
+    print(
+        f"{name}: {len(touched)} views change, {gained} hosts enter (of {sum(map(len, before.values()))} "
+        f"held, {gained / sum(map(len, before.values())):.4%}), {others} leave that still exist; "
+        f"largest change of a view {max([len(after[v] ^ before[v]) for v in touched], default=0)}"
+    )
     for host in known:
         rings.put(host.spot[1], host.kind, host.zone, True)
     assert held(rings, views) == before
@@ -96,26 +108,33 @@
     held(rings, views)
     print(f"members of a view of {SIZE}: {(time.process_time() - began) / GATEWAYS * 1e6:.0f} us")
     evenness("all gateways", rings, views)
-    evenness("the first half", rings, views[:GATEWAYS // 2])
-    evenness("the second half", rings, views[GATEWAYS // 2:])
+    evenness("the first half", rings, views[: GATEWAYS // 2])
+    evenness("the second half", rings, views[GATEWAYS // 2 :])
     evenness("without one zone's gateways", rings, [v for v in views if v.zone != "a"])
     names = list(rings.known)
     moved("one host goes", rings, views, names[:1])
-    moved(f"a rack of {RACK} goes", rings, views, names[:RACK * 6:6])
+    moved(f"a rack of {RACK} goes", rings, views, names[: RACK * 6 : 6])
     moved("a zone goes", rings, views, [n for n in names if rings.known[n].zone == "a"])
     print("gateways that restart: nothing, views are made of numbers and names alone")
     rings, views = rings_of(ZONES, KINDS), views_of(20)
     sizes = [len(names) for names in held(rings, views).values()]
-    print(f"{KINDS} kinds of {HOSTS / KINDS:.1f} hosts, 20 a gateway: "
-          f"{statistics.mean(sizes):.0f} hosts a view")
+    print(
+        f"{KINDS} kinds of {HOSTS / KINDS:.1f} hosts, 20 a gateway: {statistics.mean(sizes):.0f} hosts a view"
+    )
     evenness("by kinds", rings, views)
     moved("one host goes", rings, views, list(rings.known)[:1])
     moved("a zone goes", rings, views, [n for n in rings.known if rings.known[n].zone == "a"])
 
 
 def host(n, **kw):
-    return Host(f"s-{n:08x}", f"10.{n // 62500}.{n // 250 % 250}.{n % 250}:6379", ZONES[n // KINDS % 6],
-                f"svc-{n % KINDS}", n % 7, **kw)
+    return Host(
+        f"s-{n:08x}",
+        f"10.{n // 62500}.{n // 250 % 250}.{n % 250}:6379",
+        ZONES[n // KINDS % 6],
+        f"svc-{n % KINDS}",
+        n % 7,
+        **kw,
+    )
 
 
 def rss():
@@ -151,9 +170,11 @@
     again = time.process_time()
     for view in views:
         registry.view(1.0, None, view)
-    print(f"{count} views{f' of {kinds} kinds' if kinds else ''} begun and told whole: {took:.2f} s of CPU, "
-          f"{(time.process_time() - again) / count * 1e6:.0f} us for one that is live; "
-          f"{statistics.mean(whole):.0f} bytes of a whole view, at most {max(whole)}")
+    print(
+        f"{count} views{f' of {kinds} kinds' if kinds else ''} begun and told whole: {took:.2f} s of CPU, "
+        f"{(time.process_time() - again) / count * 1e6:.0f} us for one that is live; "
+        f"{statistics.mean(whole):.0f} bytes of a whole view, at most {max(whole)}"
+    )
     sizes.append(rss())
     print(f"memory: {sizes[1] - sizes[0]:.0f} MiB of hosts, {sizes[2] - sizes[1]:.0f} MiB of views and texts")
     index = [registry.version] * count
@@ -187,14 +208,18 @@
         bodies += map(len, made)
         now += 0.1
         park(now)
-    print(f"a change of one host: {statistics.mean(rows) * 1e6:.0f} us of CPU, at most "
-          f"{max(rows) * 1e6:.0f}, {statistics.mean(answers):.1f} watches answered with "
-          f"{statistics.mean(bodies or [0]):.0f} bytes")
+    print(
+        f"a change of one host: {statistics.mean(rows) * 1e6:.0f} us of CPU, at most "
+        f"{max(rows) * 1e6:.0f}, {statistics.mean(answers):.1f} watches answered with "
+        f"{statistics.mean(bodies or [0]):.0f} bytes"
+    )
     zone = [n for n in range(HOSTS) if host(n).zone == "a"]
     times, longest, made = change(now, zone, weight=9.0)
-    print(f"{len(zone)} hosts of a zone change at once: {times[0]:.2f} s of CPU in their calls, "
-          f"{times[1]:.2f} s in ticks, the longest {longest * 1000:.0f} ms, "
-          f"{times[2]:.2f} s in encoding {len(made)} answers of {statistics.mean(map(len, made)):.0f} bytes")
+    print(
+        f"{len(zone)} hosts of a zone change at once: {times[0]:.2f} s of CPU in their calls, "
+        f"{times[1]:.2f} s in ticks, the longest {longest * 1000:.0f} ms, "
+        f"{times[2]:.2f} s in encoding {len(made)} answers of {statistics.mean(map(len, made)):.0f} bytes"
+    )
     now += 1.0
     park(now)
     began = time.process_time()
@@ -203,8 +228,10 @@
     calls = time.process_time() - began
     told, longest = ticks(registry, now + 0.06)
     size = statistics.mean(len(encoder.encode(answer)) for answer in told)
-    print(f"the zone goes: {calls:.2f} s in calls, the longest tick {longest * 1000:.0f} ms, "
-          f"{len(told)} answers of {size:.0f} bytes")
+    print(
+        f"the zone goes: {calls:.2f} s in calls, the longest tick {longest * 1000:.0f} ms, "
+        f"{len(told)} answers of {size:.0f} bytes"
+    )
 
 
 def main():
--- a/tests/netkit.py
+++ b/tests/netkit.py
@@ -25,22 +25,41 @@
 SETTINGS = site.BASE | {
     "services": [
         {"name": "read", "slo": 1_000_000_000, "deadline": 3_000_000_000, "effect": "pure", "gain": 1.0},
-        {"name": "write", "slo": 1_000_000_000, "deadline": 3_000_000_000, "effect": "token", "gain": 1.0,
-         "dedup_scope": "cell", "memory_span": 3_000_000_000},
-        {"name": "note", "slo": 1_000_000_000, "deadline": 3_000_000_000, "effect": "side_effect",
-         "gain": 1.0}],
-    "plans": [{"name": "p", "rate": 1000.0, "most_at_once": 10000.0},
-              {"name": "small", "rate": 1.0, "most_at_once": 1.0}]}
+        {
+            "name": "write",
+            "slo": 1_000_000_000,
+            "deadline": 3_000_000_000,
+            "effect": "token",
+            "gain": 1.0,
+            "dedup_scope": "cell",
+            "memory_span": 3_000_000_000,
+        },
+        {
+            "name": "note",
+            "slo": 1_000_000_000,
+            "deadline": 3_000_000_000,
+            "effect": "side_effect",
+            "gain": 1.0,
+        },
+    ],
+    "plans": [
+        {"name": "p", "rate": 1000.0, "most_at_once": 10000.0},
+        {"name": "small", "rate": 1.0, "most_at_once": 1.0},
+    ],
+}
 
 
 def on_loop(test):
     """Runs an async test on the loop that the gateway runs on."""
+
     @functools.wraps(test)
     def run(*args, **kwargs):
         async def bounded():
             async with asyncio.timeout(PATIENCE):
                 await test(*args, **kwargs)
+
         uvloop.run(bounded())
+
     return run
 
 
@@ -118,8 +137,9 @@
             await self.discovery.__aenter__()
             listed = [entry(h, f"h{n}") for n, h in enumerate(self.hosts, 1)]
             self.discovery.servers = listed
-            self.file.write_text(json.dumps(
-                told(listed, self.discovery.port, self.counter.port, self.settings) | self.more))
+            self.file.write_text(
+                json.dumps(told(listed, self.discovery.port, self.counter.port, self.settings) | self.more)
+            )
         env = {"RELAY_CONFIG": str(self.file), "RELAY_CONTROL": "127.0.0.1:0", "TMPDIR": str(self.path)}
         os.environ["RELAY_CONFIG"] = str(self.file)  # a signal reads the file that the environment names
         self.node = GatewayNode(read_config(env))
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -34,8 +34,14 @@
 def test_parts_are_max_min_fair_and_sum_to_the_room_at_most(seed):
     rng = random.Random(seed)
     room = rng.choice((0.0, 1.0, 50.0, 1000.0))
-    claims = [Claim(rng.choice((0, 0.1, 3, rng.uniform(0, 200), 1e9)), rng.choice((0, 0, 1.0)),
-                    rng.choice((1, 1, 2, 0.5))) for _ in range(rng.randint(1, 40))]
+    claims = [
+        Claim(
+            rng.choice((0, 0.1, 3, rng.uniform(0, 200), 1e9)),
+            rng.choice((0, 0, 1.0)),
+            rng.choice((1, 1, 2, 0.5)),
+        )
+        for _ in range(rng.randint(1, 40))
+    ]
     parts, level = divide(room, claims)
     wanted = sum(claim.wanted for claim in claims)
     assert sum(parts) == pytest.approx(min(room, wanted), abs=1e-6)
@@ -93,6 +99,7 @@
     def answered(self, now, told):
         self.sent_at = now
         return old(self, now, told)
+
     return answered
 
 
@@ -101,6 +108,7 @@
         if told.life == self.life:
             self.seq, self.awaits = told.seq, True
         return old(self, now, told)
+
     return answered
 
 
@@ -109,6 +117,7 @@
         old(self, *args)
         for part in self.parts.values():
             part.tokens = 1.0
+
     return init
 
 
@@ -117,6 +126,7 @@
         part = old(self, now, life, name, report)
         self.cover(life, name, life.holds[name], part)
         return part
+
     return grant
 
 
@@ -127,6 +137,7 @@
             for name, hold in list(other.holds.items()):
                 self.free(other, name, hold)
         return life
+
     return life_of
 
 
@@ -142,6 +153,7 @@
 def forgets_how_long(old):
     def recall(self, now, key, held):
         return old(self, now, key, held._replace(hold=0.0))
+
     return recall
 
 
@@ -177,9 +189,11 @@
     "the part of an older life freed": Patched(World, Grantor, "life_of", old_life_freed),
     "reserve not set aside": Patched(World, Terms, "divided", lambda old: lambda self, b: float(b.whole)),
     "grants held too short": Patched(World, Terms, "hold", lambda old: lambda self: 0.7 * self.length),
-    "freed on a hint": Patched(FreesOnAHint), "no wait without a log": Patched(WaitsForNothing),
+    "freed on a hint": Patched(FreesOnAHint),
+    "no wait without a log": Patched(WaitsForNothing),
     "log skipped": Patched(SkipsTheLog),
-    "reserve shared by two lives": Patched(SharesTheReserveTwice)}
+    "reserve shared by two lives": Patched(SharesTheReserveTwice),
+}
 
 
 @pytest.mark.parametrize("name", BUGS)
@@ -310,15 +324,38 @@
 def odd(**kw):
     report = {"need": 1.0, "have": 0.0, "reserve": 0.0}
     report |= {key: value for key, value in kw.items() if key in report}
-    told = {"name": "a", "zone": "z", "index": 0, "life": 1, "seq": 1, "term": 0,
-            "budgets": {kw.pop("budget", "connections"): report}}
+    told = {
+        "name": "a",
+        "zone": "z",
+        "index": 0,
+        "life": 1,
+        "seq": 1,
+        "term": 0,
+        "budgets": {kw.pop("budget", "connections"): report},
+    }
     return json.dumps(told | {k: v for k, v in kw.items() if k in told}).encode()
 
 
-@pytest.mark.parametrize("data", [
-    b"", b"[]", b"{", odd(need=float("nan")), odd(need=-1), odd(need=41), odd(have=41), odd(reserve=2),
-    odd(need="1"), odd(budget="none"), odd(index=-1), odd(seq=-1), odd(name=""), odd(name="x" * 200),
-    odd(index=8, reserve=1)])
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"[]",
+        b"{",
+        odd(need=float("nan")),
+        odd(need=-1),
+        odd(need=41),
+        odd(have=41),
+        odd(reserve=2),
+        odd(need="1"),
+        odd(budget="none"),
+        odd(index=-1),
+        odd(seq=-1),
+        odd(name=""),
+        odd(name="x" * 200),
+        odd(index=8, reserve=1),
+    ],
+)
 def test_what_cannot_be_true_is_refused_and_changes_nothing(data):
     grantor = Grantor(TERMS, 1, 0.0, {}, False)
     with pytest.raises(ValueError):
@@ -388,8 +425,11 @@
     for _ in range(40):
         pair.rounds(1, a={"connections": 40}, b={"connections": 40})
         covers = sum(life.holds["connections"].cover for life in pair.grantor.lives.values())
-        both = sum(h.parts["connections"].used + max(0, h.have(pair.now, h.parts["connections"])
-                   - h.parts["connections"].used) for h in pair.holders.values())
+        both = sum(
+            h.parts["connections"].used
+            + max(0, h.have(pair.now, h.parts["connections"]) - h.parts["connections"].used)
+            for h in pair.holders.values()
+        )
         assert covers <= 32 and both <= 40
         if holder.over(pair.now, "connections"):
             holder.give("connections")
@@ -414,10 +454,16 @@
     assert told["over"] == 0 and told["granted"] <= 12
 
 
-@pytest.mark.parametrize("terms, why", [
-    (msgspec.structs.replace(TERMS, most=9), "most"), (msgspec.structs.replace(TERMS, length=9.0), "length"),
-    (msgspec.structs.replace(TERMS, budgets=TERMS.budgets[:1]), "connects"),
-    (changed(reserve=16.0), "reserve"), (changed(linger=0.1), "linger")])
+@pytest.mark.parametrize(
+    "terms, why",
+    [
+        (msgspec.structs.replace(TERMS, most=9), "most"),
+        (msgspec.structs.replace(TERMS, length=9.0), "length"),
+        (msgspec.structs.replace(TERMS, budgets=TERMS.budgets[:1]), "connects"),
+        (changed(reserve=16.0), "reserve"),
+        (changed(linger=0.1), "linger"),
+    ],
+)
 def test_changes_that_hold_nowhere_at_once_are_refused_whole(terms, why):
     grantor = Grantor(TERMS, 1, 0.0, {}, False)
     with pytest.raises(Unsound, match=why):
@@ -439,15 +485,20 @@
 # Terms
 
 
-@pytest.mark.parametrize("change, why", [
-    ({"length": 1.0}, "length"), ({"budgets": [Budget("a", "level", 5, reserve=6)]}, "reserve"),
-    ({"budgets": [Budget("a", "level", 16, reserve=8, least=2)]}, "least"),
-    ({"budgets": [Budget("a", "much", 5)]}, "kind"),
-    ({"budgets": [Budget("a", "rate", 5, burst=7)]}, "burst"),
-    ({"budgets": [Budget("a", "level", 50, linger=1)] * 2}, "one name"),
-    ({"budgets": [Budget("a", "level", 50)]}, "linger"),
-    ({"budgets": [Budget("a", "level", 50, burst=9)]}, "burst"),
-    ({"budgets": [Budget("a", "rate", 50, burst=9, linger=1)]}, "linger")])
+@pytest.mark.parametrize(
+    "change, why",
+    [
+        ({"length": 1.0}, "length"),
+        ({"budgets": [Budget("a", "level", 5, reserve=6)]}, "reserve"),
+        ({"budgets": [Budget("a", "level", 16, reserve=8, least=2)]}, "least"),
+        ({"budgets": [Budget("a", "much", 5)]}, "kind"),
+        ({"budgets": [Budget("a", "rate", 5, burst=7)]}, "burst"),
+        ({"budgets": [Budget("a", "level", 50, linger=1)] * 2}, "one name"),
+        ({"budgets": [Budget("a", "level", 50)]}, "linger"),
+        ({"budgets": [Budget("a", "level", 50, burst=9)]}, "burst"),
+        ({"budgets": [Budget("a", "rate", 50, burst=9, linger=1)]}, "linger"),
+    ],
+)
 def test_terms_that_cannot_hold_are_refused(change, why):
     with pytest.raises(TermsError, match=why):
         check(msgspec.structs.replace(TERMS, **change))
@@ -543,8 +594,12 @@
 
 
 def config(tmp_path, log=True):
-    return Config(("127.0.0.1", 0), msgspec.structs.replace(TERMS, every=0.05, length=1.0),
-                  tmp_path / "x.db" if log else None, {})
+    return Config(
+        ("127.0.0.1", 0),
+        msgspec.structs.replace(TERMS, every=0.05, length=1.0),
+        tmp_path / "x.db" if log else None,
+        {},
+    )
 
 
 @on_loop
@@ -581,8 +636,11 @@
     async with aiohttp.ClientSession() as session:
         base = f"http://127.0.0.1:{port}"
         for method, path, data, status in (
-                ("GET", "/v1/exchange", b"", 404), ("POST", "/v1/exchange", b"{", 400),
-                ("POST", "/v1/exchange", b"x" * 70_000, 413), ("GET", "/status", b"", 200)):
+            ("GET", "/v1/exchange", b"", 404),
+            ("POST", "/v1/exchange", b"{", 400),
+            ("POST", "/v1/exchange", b"x" * 70_000, 413),
+            ("GET", "/status", b"", 200),
+        ):
             async with session.request(method, base + path, data=data) as answer:
                 assert answer.status == status
     for client in (*clients, late):
@@ -622,14 +680,21 @@
 def started(tmp_path, tree):
     (tmp_path / "budgets.json").write_text(json.dumps(tree))
     env = {**os.environ, "BUDGETS_CONFIG": str(tmp_path / "budgets.json")}
-    return subprocess.Popen([sys.executable, "-m", "calicomast.budgets"], env=env, text=True, cwd=ROOT,
-                            stderr=subprocess.PIPE)
-
-
-@pytest.mark.parametrize("tree, why", [
-    ({}, "listen"), ({**FILE, "more": 1}, "more"), ({**FILE, "listen": "x"}, "HOST:PORT"),
-    ({**FILE, "terms": {**FILE["terms"], "length": 0.1}}, "length"),
-    ({**FILE, "weights": {"a": 0}}, "weights")])
+    return subprocess.Popen(
+        [sys.executable, "-m", "calicomast.budgets"], env=env, text=True, cwd=ROOT, stderr=subprocess.PIPE
+    )
+
+
+@pytest.mark.parametrize(
+    "tree, why",
+    [
+        ({}, "listen"),
+        ({**FILE, "more": 1}, "more"),
+        ({**FILE, "listen": "x"}, "HOST:PORT"),
+        ({**FILE, "terms": {**FILE["terms"], "length": 0.1}}, "length"),
+        ({**FILE, "weights": {"a": 0}}, "weights"),
+    ],
+)
 def test_a_bad_configuration_ends_the_start_in_one_line(tree, why, tmp_path):
     process = started(tmp_path, tree)
     _, err = process.communicate(timeout=60)
--- a/tests/test_changes_model.py
+++ b/tests/test_changes_model.py
@@ -14,8 +14,9 @@
 DEAD = "127.0.0.1:1"
 SEEDS = range(30)
 OPS = 120
-CHOICES = (["apply"] * 6 + ["confirm", "back", "time", "start"] * 2
-           + ["signal", "broken", "bad", "die", "file"])
+CHOICES = (
+    ["apply"] * 6 + ["confirm", "back", "time", "start"] * 2 + ["signal", "broken", "bad", "die", "file"]
+)
 
 
 class Killed(BaseException):
@@ -105,8 +106,10 @@
 
     def follow(self):
         what = self.versions[self.newest]
-        self.own = [own and ((self.newest, *what) if self.by != "start" or own[1:] == what else own)
-                    for own in self.own]
+        self.own = [
+            own and ((self.newest, *what) if self.by != "start" or own[1:] == what else own)
+            for own in self.own
+        ]
 
     def same(self, p, what):
         return self.own[p] == (self.newest, *what)
@@ -300,8 +303,15 @@
     monkeypatch.setattr(Changes, "begin", unarmed)
 
 
-@pytest.mark.parametrize("bug", [planted_no_look, planted_no_expect, planted_history_written_after_the_commit,
-                                 planted_no_timer_after_a_start])
+@pytest.mark.parametrize(
+    "bug",
+    [
+        planted_no_look,
+        planted_no_expect,
+        planted_history_written_after_the_commit,
+        planted_no_timer_after_a_start,
+    ],
+)
 def test_a_planted_bug_is_caught(bug, scratch, monkeypatch):
     bug(monkeypatch)
     caught = 0
--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -64,11 +64,14 @@
     """Gateways with uneven traffic. `cold`: moments at which so many hosts come back; `restarts`: moments at
     which so many gateways start anew. Hosts work on `slots` requests at once, for `work` seconds each."""
 
-    def __init__(self, seed, gateways=30, hosts=12, load=0.6, cold=(), restarts=(), slots=2, work=0.05,
-                 **rules):
+    def __init__(
+        self, seed, gateways=30, hosts=12, load=0.6, cold=(), restarts=(), slots=2, work=0.05, **rules
+    ):
         self.rng, self.work = random.Random(seed), work
-        self.conf = [settings(plans=[BIG], gateways=gateways, index=n, counter=False, counter_timeout=0.0,
-                              rules=rules) for n in range(gateways)]
+        self.conf = [
+            settings(plans=[BIG], gateways=gateways, index=n, counter=False, counter_timeout=0.0, rules=rules)
+            for n in range(gateways)
+        ]
         self.rules = self.conf[0].rules
         self.machines = {f"h{n}": Machine(f"h{n}", slots, work) for n in range(hosts)}
         self.gateways = [None] * gateways
@@ -170,8 +173,17 @@
     "small hosts, crowded": dict(SMALL, load=1.0, cold_share=0.1),
     "small hosts that fall soon": dict(SMALL, fall_time=0.5, cold_share=0.1),
     "large hosts": dict(slots=16, work=0.1, hosts=6, cold=((4.0, 1), (6.0, 2)), fall_time=1.0),
-    "as at a site": dict(slots=3, work=0.25, cold=((4.0, 3), (6.0, 3)), restarts=((6.5, 15),), load=0.8,
-                         fall_multiple=3.0, fall_time=1.0, cold_share=0.18, cold_time=18.0),
+    "as at a site": dict(
+        slots=3,
+        work=0.25,
+        cold=((4.0, 3), (6.0, 3)),
+        restarts=((6.5, 15),),
+        load=0.8,
+        fall_multiple=3.0,
+        fall_time=1.0,
+        cold_share=0.18,
+        cold_time=18.0,
+    ),
 }
 
 
@@ -183,16 +195,22 @@
     assert played.served > 0.4 * played.asked  # and work is done meanwhile
 
 
-@pytest.mark.parametrize("gateways, seed, share",
-                         [(20, 3, 0.05), (20, 10, 0.1), (30, 13, 0.05), (30, 13, 0.1)])
+@pytest.mark.parametrize(
+    "gateways, seed, share", [(20, 3, 0.05), (20, 10, 0.1), (30, 13, 0.05), (30, 13, 0.1)]
+)
 def test_gateways_that_know_send_no_cold_host_too_much_where_hosts_fall_soon(gateways, seed, share):
     """Crowded small hosts that fall within 0.5 s, and news that takes up to 0.3 s: five sends of gateways
     that were not told yet are 1.16 of what makes one fall; nothing that these know could keep them back."""
     played = Play(seed, gateways, **SMALL, load=1.0, fall_time=0.5, cold_share=share)
     played.run()
     assert played.told() <= 1.0
-    late = [at - m.started for m in played.machines.values() if m.started
-            for at in set(m.came) - set(m.told) if at >= m.started]
+    late = [
+        at - m.started
+        for m in played.machines.values()
+        if m.started
+        for at in set(m.came) - set(m.told)
+        if at >= m.started
+    ]
     assert 0.0 < max(late) < 0.3  # what came in ignorance came before the news
     assert played.served > 0.4 * played.asked
 
--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -21,14 +21,19 @@
 
 def test_nothing_is_lost_where_a_gateway_dies_and_the_counter_is_silent():
     command = Command(
-        *SMALL, "--seconds", "6", "--kill-gateway-at", "1.5", "--stop-counter-at", "2", "--for", "1")
+        *SMALL, "--seconds", "6", "--kill-gateway-at", "1.5", "--stop-counter-at", "2", "--for", "1"
+    )
     status, out, err = command.result()
     told = json.loads(out)
     assert (status, err) == (0, "") and not command.left()
     assert told["lost"] == 0 and told["quota_kept"] and told["died"] == []
     assert told["served"] > 100 and told["refused"] > 10  # some customers ask for more than their quota
     assert {event["what"] for event in told["events"]} == {
-        "gateway-1 killed", "counter silent", "counter back", "gateway-1 back"}
+        "gateway-1 killed",
+        "counter silent",
+        "counter back",
+        "gateway-1 back",
+    }
     assert all(gateway["alive"] and gateway["served"] for gateway in told["gateways"].values())
     # Each answer that a client got came from a host; a host may have done more, for a gateway that died.
     done = sum(host["commands"].get("served", 0) for host in told["hosts"].values())
@@ -64,12 +69,19 @@
     assert status == 1 and told["died"] == ["host-1"] and told["hosts"]["host-0"]["commands"]["served"] > 0
 
 
-@pytest.mark.parametrize("args, status, why", [
-    (("demo", "--gateways", "0"), 2, "'--gateways'"), (("demo", "--for", "soon"), 2, "'--for'"),
-    (("dance",), 2, "No such command"), (("standin", "counter", "--listen", "7000"), 2, "is not HOST:PORT"),
-    (("standin", "discovery", "--hosts", "none.json"), 2, "none.json"),
-    (("standin", "discovery", "--hosts", "README.md"), 1, "the file of hosts"),
-    (("standin", "counter", "--listen", "192.0.2.1:1"), 1, "192.0.2.1"), (("--help",), 0, "")])
+@pytest.mark.parametrize(
+    "args, status, why",
+    [
+        (("demo", "--gateways", "0"), 2, "'--gateways'"),
+        (("demo", "--for", "soon"), 2, "'--for'"),
+        (("dance",), 2, "No such command"),
+        (("standin", "counter", "--listen", "7000"), 2, "is not HOST:PORT"),
+        (("standin", "discovery", "--hosts", "none.json"), 2, "none.json"),
+        (("standin", "discovery", "--hosts", "README.md"), 1, "the file of hosts"),
+        (("standin", "counter", "--listen", "192.0.2.1:1"), 1, "192.0.2.1"),
+        (("--help",), 0, ""),
+    ],
+)
 def test_what_cannot_be_done_is_told_without_a_traceback(args, status, why):
     ended, out, err = Command(*args).result()
     assert ended == status and why in err and "Traceback" not in err + out
@@ -145,15 +157,37 @@
 
 def test_a_gateway_imports_what_it_needs_and_no_part_that_is_off():
     told = subprocess.run(
-        [sys.executable, "-c", "import calicomast.net.__main__, sys; print(*sorted(sys.modules))"], cwd=ROOT,
-        capture_output=True, text=True, check=True).stdout.split()
+        [sys.executable, "-c", "import calicomast.net.__main__, sys; print(*sorted(sys.modules))"],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        check=True,
+    ).stdout.split()
     assert [name for name in told if name.startswith("calicomast")] == [
-        "calicomast", "calicomast.base", "calicomast.base.faults", "calicomast.base.listing",
-        "calicomast.base.ratelimit", "calicomast.interface", "calicomast.net", "calicomast.net.__main__",
-        "calicomast.net.bans", "calicomast.net.clients", "calicomast.net.config", "calicomast.net.counter",
-        "calicomast.net.discovery", "calicomast.net.fetch", "calicomast.net.gateway", "calicomast.net.hosts",
-        "calicomast.net.listening", "calicomast.net.lives", "calicomast.net.resp", "calicomast.policy",
-        *(f"calicomast.policy.{name}" for name in (
-            "accounts", "attempts", "fleet", "gateway", "quota", "shedding", "work")),
-        "calicomast.settings"]
+        "calicomast",
+        "calicomast.base",
+        "calicomast.base.faults",
+        "calicomast.base.listing",
+        "calicomast.base.ratelimit",
+        "calicomast.interface",
+        "calicomast.net",
+        "calicomast.net.__main__",
+        "calicomast.net.bans",
+        "calicomast.net.clients",
+        "calicomast.net.config",
+        "calicomast.net.counter",
+        "calicomast.net.discovery",
+        "calicomast.net.fetch",
+        "calicomast.net.gateway",
+        "calicomast.net.hosts",
+        "calicomast.net.listening",
+        "calicomast.net.lives",
+        "calicomast.net.resp",
+        "calicomast.policy",
+        *(
+            f"calicomast.policy.{name}"
+            for name in ("accounts", "attempts", "fleet", "gateway", "quota", "shedding", "work")
+        ),
+        "calicomast.settings",
+    ]
     assert not {"click", "rich", "aiohttp"} & set(told)
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -16,8 +16,9 @@
 @pytest.fixture
 def built(tmp_path):
     """A copy that was built, but for the packages: its environment is the one that runs the tests."""
-    shutil.copytree(ROOT / "calicomast", tmp_path / "calicomast",
-                    ignore=shutil.ignore_patterns("__pycache__"))
+    shutil.copytree(
+        ROOT / "calicomast", tmp_path / "calicomast", ignore=shutil.ignore_patterns("__pycache__")
+    )
     binaries = tmp_path / ".venv" / "bin"
     binaries.mkdir(parents=True)
     for name, target in (("python", sys.executable), ("pip", "true")):
@@ -33,8 +34,14 @@
     assert compiled and all(path.is_file() for path in compiled)
     for source in sources:
         source.touch()  # a copy of the tree may have other times
-    told = subprocess.run([sys.executable, "-B", "-v", "-c", "import calicomast.net.gateway"], cwd=built,
-                          capture_output=True, text=True, check=True, timeout=60).stderr
+    told = subprocess.run(
+        [sys.executable, "-B", "-v", "-c", "import calicomast.net.gateway"],
+        cwd=built,
+        capture_output=True,
+        text=True,
+        check=True,
+        timeout=60,
+    ).stderr
     for path in compiled:
         if path.name.startswith(("quota.", "gateway.", "interface.")):
             assert f"matches {path}" in told or f"code object from '{path}'" in told
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -40,9 +40,16 @@
     assert held
 
 
-@pytest.mark.parametrize("treatment, least, most", [
-    (PASS, 5000, 5000), (Treatment(drop=0.3), 3300, 3700), (Treatment(double=0.2), 5800, 6200),
-    (Treatment(cut=True), 0, 0), (Treatment(rate=10_000), 59, 61)])  # 1 s of 100 bytes waits beside the first
+@pytest.mark.parametrize(
+    "treatment, least, most",
+    [
+        (PASS, 5000, 5000),
+        (Treatment(drop=0.3), 3300, 3700),
+        (Treatment(double=0.2), 5800, 6200),
+        (Treatment(cut=True), 0, 0),
+        (Treatment(rate=10_000), 59, 61),
+    ],
+)  # 1 s of 100 bytes waits beside the first
 def test_shares_of_datagrams(treatment, least, most):
     def play():
         line = Line(random.Random(1))
@@ -181,12 +188,20 @@
     assert read_scenario(name).about
 
 
-@pytest.mark.parametrize("text, why", [
-    ("", "world"), ("[world]\n", "step"), ("[world]\ngateways = -1\n[[step]]\ndo = 'wait'", "gateways"),
-    ("[world]\n[[step]]\ndo = 'dance'", "dance"), ("[world]\n[[step]]\ndo = 'kill'", "of"),
-    ("[world]\n[[step]]\ndo = 'link'\nfrom = ['a']\nto = ['b']\ndrop = 2.0", "drop"),
-    ("[world]\n[[step]]\ndo = 'wait'\nlong = 5", "long"), ("[world", "Expected"),
-    ("[world]\n[[step]]\ndo = 'storm'\nof = ['a']\nkinds = ['rain']", "rain")])
+@pytest.mark.parametrize(
+    "text, why",
+    [
+        ("", "world"),
+        ("[world]\n", "step"),
+        ("[world]\ngateways = -1\n[[step]]\ndo = 'wait'", "gateways"),
+        ("[world]\n[[step]]\ndo = 'dance'", "dance"),
+        ("[world]\n[[step]]\ndo = 'kill'", "of"),
+        ("[world]\n[[step]]\ndo = 'link'\nfrom = ['a']\nto = ['b']\ndrop = 2.0", "drop"),
+        ("[world]\n[[step]]\ndo = 'wait'\nlong = 5", "long"),
+        ("[world", "Expected"),
+        ("[world]\n[[step]]\ndo = 'storm'\nof = ['a']\nkinds = ['rain']", "rain"),
+    ],
+)
 def test_a_scenario_that_cannot_be_played_is_told_in_one_line(text, why, tmp_path):
     path = tmp_path / "odd.toml"
     path.write_text(text)
@@ -239,10 +254,14 @@
 """
 
 
-@pytest.mark.parametrize("late, check, status, why", [
-    (9.0, "{ that = 'runs', of = ['holder-0'], runs = false }", 1, "holder-0 runs: True"),
-    (0.00001, "{ that = 'runs', of = ['holder-0'] }", 3, "this machine was late"),
-    (9.0, "{ that = 'runs', of = ['host-7'] }", 2, "no process is named 'host-7'")])
+@pytest.mark.parametrize(
+    "late, check, status, why",
+    [
+        (9.0, "{ that = 'runs', of = ['holder-0'], runs = false }", 1, "holder-0 runs: True"),
+        (0.00001, "{ that = 'runs', of = ['holder-0'] }", 3, "this machine was late"),
+        (9.0, "{ that = 'runs', of = ['host-7'] }", 2, "no process is named 'host-7'"),
+    ],
+)
 def test_verdicts(late, check, status, why, tmp_path):
     path = tmp_path / "small.toml"
     path.write_text(SMALL.format(late=late, check=check, seconds=1))
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -98,8 +98,9 @@
 
 
 def many(gateways, hosts, **kw):
-    return [World(settings(plans=[BIG], gateways=gateways, index=k, **kw), hosts, seed=k)
-            for k in range(gateways)]
+    return [
+        World(settings(plans=[BIG], gateways=gateways, index=k, **kw), hosts, seed=k) for k in range(gateways)
+    ]
 
 
 def play(worlds, seconds, sent, step=0.05):
--- a/tests/test_fleet_views.py
+++ b/tests/test_fleet_views.py
@@ -38,14 +38,14 @@
 
 def in_view(hosts, index, view):
     """The hosts that follow a gateway's place on the ring."""
-    place = int(index * GOLDEN % 1.0 * 2 ** 63)
-    return sorted(hosts, key=lambda h: (stable_hash(h.id, "place") - place) % 2 ** 63)[:view]
+    place = int(index * GOLDEN % 1.0 * 2**63)
+    return sorted(hosts, key=lambda h: (stable_hash(h.id, "place") - place) % 2**63)[:view]
 
 
 def passed_over(hosts, index, gateways):
     """Hosts of a view before those that are used, counted from all hosts and the places of all gateways."""
     need, place = OWN_PART * max(1.0, LIMIT_MOST * len(hosts) / gateways), index * GOLDEN % 1.0
-    follow = sum((stable_hash(h.id, "place") / 2 ** 63 - place) % 1.0 < need / len(hosts) for h in hosts)
+    follow = sum((stable_hash(h.id, "place") / 2**63 - place) % 1.0 < need / len(hosts) for h in hosts)
     rank = sorted(n * GOLDEN % 1.0 for n in range(gateways)).index(place)
     ahead = len(hosts) * (rank / gateways - place)
     return max(0, round(VIEW_LEAD * need + (follow - need) / 2 + ahead))
@@ -83,7 +83,7 @@
         asked(w, 4)
     assert abs(len(whole.gw.fleet.own) - len(part.gw.fleet.own)) <= 2
     own, skip = part.gw.fleet.own, passed_over(hosts, 7, gateways)
-    assert [s.host for s in own] == in_view(hosts, 7, view)[skip:skip + len(own)]
+    assert [s.host for s in own] == in_view(hosts, 7, view)[skip : skip + len(own)]
     assert not wishes(part) and not wishes(whole)
     out = {}
     for name, w in (("whole", whole), ("part", part)):
@@ -130,14 +130,14 @@
     assert asked(w)
     lost = [s.host for s in w.gw.fleet.up]
     for n in range(0, 60, 20):
-        w.do(api.HostList("delta", 2 + n, down(*lost[n:n + 20]), 2000))
+        w.do(api.HostList("delta", 2 + n, down(*lost[n : n + 20]), 2000))
     w.log.clear()
     for _ in range(100):
         w.now += 0.1
         assert not of(w.ask()[1], api.Send)
     assert len(wishes(w)) == math.ceil(10.0 / WIDEN_SPAN) and min(wishes(w)) > 60
     assert not w.gw.fleet.own and w.gw.fleet.crowd == 1.0
-    back = tuple(h for h in hosts if h.zone == "z2")[:wishes(w)[0]]
+    back = tuple(h for h in hosts if h.zone == "z2")[: wishes(w)[0]]
     w.do(api.HostList("delta", 99, back, 2000))
     w.log.clear()
     sent = asked(w, 80)
@@ -292,9 +292,9 @@
             # The cold host leaves and enters views; others do, too.
             had = {h.id for h in listed[k]}
             far = [h for h in hosts if h.id not in had and h.id != cold.id]
-            out = [h for h in listed[k] if h.id != cold.id][(turn * 3 + k) % 50:][:5]
-            listed[k] = [h for h in listed[k] if h not in out] + far[turn % 20:][:5]
-            told = down(*out) + tuple(far[turn % 20:][:5])
+            out = [h for h in listed[k] if h.id != cold.id][(turn * 3 + k) % 50 :][:5]
+            listed[k] = [h for h in listed[k] if h not in out] + far[turn % 20 :][:5]
+            told = down(*out) + tuple(far[turn % 20 :][:5])
             inside = (turn + k) % 2 == 0
             told += (cold,) if inside else down(cold)
             w.do(api.HostList("delta", 2 + turn, told, total))
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -8,8 +8,18 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 DEPLOY = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
-PURE = {"__future__", "bisect", "calicomast", "dataclasses", "hashlib", "heapq", "itertools", "math",
-        "random", "typing"}  # no clock and no I/O
+PURE = {
+    "__future__",
+    "bisect",
+    "calicomast",
+    "dataclasses",
+    "hashlib",
+    "heapq",
+    "itertools",
+    "math",
+    "random",
+    "typing",
+}  # no clock and no I/O
 
 
 MODULE_FILE_LINES = 520  # of each file of the decision module: one that grows past it has more than one job
@@ -33,19 +43,30 @@
         assert set(re.findall(r"^(?:import|from) (\w+)", text, re.MULTILINE)) <= PURE
 
 
-ALLOWED = {"base": {"interface"}, "policy": {"interface"},
-           "net": {"interface", "settings", "policy", "base", "membership"}, "membership": {"base"},
-           "registry": {"base", "membership"}, "standins": set(), "keeper": {"standins"},
-           "demo": {"keeper", "standins"}, "budgets": {"base"},
-           "lab": {"demo", "keeper", "standins", "budgets", "membership", "base"}}
+ALLOWED = {
+    "base": {"interface"},
+    "policy": {"interface"},
+    "net": {"interface", "settings", "policy", "base", "membership"},
+    "membership": {"base"},
+    "registry": {"base", "membership"},
+    "standins": set(),
+    "keeper": {"standins"},
+    "demo": {"keeper", "standins"},
+    "budgets": {"base"},
+    "lab": {"demo", "keeper", "standins", "budgets", "membership", "base"},
+}
 
 
 # These run the gateway's own code, as hollow gateways and its module without sockets do. What starts them
 # does so as programs, so that the rest of the lab has the same bounds as before.
-DRIVERS = {"lab/scale/module.py": {"interface", "policy"}, "lab/scale/stamped.py": {"interface", "net"},
-           "lab/scale/hollow.py": {"net", "base"}, "lab/scale/events.py": {"registry", "base", "net"},
-           "lab/scale/connects.py": {"interface", "net"},
-           "lab/scale/lessees.py": {"interface", "net", "base"}}
+DRIVERS = {
+    "lab/scale/module.py": {"interface", "policy"},
+    "lab/scale/stamped.py": {"interface", "net"},
+    "lab/scale/hollow.py": {"net", "base"},
+    "lab/scale/events.py": {"registry", "base", "net"},
+    "lab/scale/connects.py": {"interface", "net"},
+    "lab/scale/lessees.py": {"interface", "net", "base"},
+}
 
 
 @pytest.mark.parametrize("package", ALLOWED)
@@ -79,15 +100,18 @@
     assert scope["actions"]
 
 
-@pytest.mark.parametrize("make", [
-    lambda: api.Plan("p", -1.0, 8.0, 0, 1.0, 0.0, 0.0, 0.0, 0.0, 0.0),
-    lambda: api.Plan("p", 1.0, 0.0, 0, 1.0, 0.0, 0.0, 0.0, 0.0, 0.0),
-    lambda: api.ServiceClass("c", 1.0, 2.0, "sometimes", "all", 0.0, 1.0, 0.0, False, 0.0),
-    lambda: api.Request("r", 1.0, "c", "p", "c", -1.0, 0, 1),
-    lambda: api.Request("r", 1.0, "c", "p", "c", 1.0, 0, 0),
-    lambda: api.Host("h", "z", 0, 1.0, "k", "maybe", 0.0),
-    lambda: api.Outcome("r", 0, "h", "fine", 0.1, True),
-])
+@pytest.mark.parametrize(
+    "make",
+    [
+        lambda: api.Plan("p", -1.0, 8.0, 0, 1.0, 0.0, 0.0, 0.0, 0.0, 0.0),
+        lambda: api.Plan("p", 1.0, 0.0, 0, 1.0, 0.0, 0.0, 0.0, 0.0, 0.0),
+        lambda: api.ServiceClass("c", 1.0, 2.0, "sometimes", "all", 0.0, 1.0, 0.0, False, 0.0),
+        lambda: api.Request("r", 1.0, "c", "p", "c", -1.0, 0, 1),
+        lambda: api.Request("r", 1.0, "c", "p", "c", 1.0, 0, 0),
+        lambda: api.Host("h", "z", 0, 1.0, "k", "maybe", 0.0),
+        lambda: api.Outcome("r", 0, "h", "fine", 0.1, True),
+    ],
+)
 def test_types_reject_what_makes_no_sense(make):
     with pytest.raises(ValueError):
         make()
--- a/tests/test_listing.py
+++ b/tests/test_listing.py
@@ -10,9 +10,11 @@
 from calicomast.base.listing import Entries
 
 WORDS = st.text(max_size=8)
-VALUES = st.recursive(st.none() | st.booleans() | st.integers() | st.floats(allow_nan=False) | WORDS,
-                      lambda inner: st.lists(inner, max_size=3) | st.dictionaries(WORDS, inner, max_size=3),
-                      max_leaves=6)
+VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats(allow_nan=False) | WORDS,
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(WORDS, inner, max_size=3),
+    max_leaves=6,
+)
 
 
 def read(body):
@@ -20,10 +22,17 @@
     return list(entries), entries.told
 
 
-@given(st.lists(VALUES, max_size=8), st.dictionaries(WORDS, VALUES, max_size=4), st.integers(0, 4),
-       st.sampled_from([None, 0, 2, "\t"]), st.booleans(), st.integers(1, 40))
-def test_a_list_is_read_as_it_is_at_once_however_it_is_written_and_cut(servers, beside, place, indent, ascii,
-                                                                       window):
+@given(
+    st.lists(VALUES, max_size=8),
+    st.dictionaries(WORDS, VALUES, max_size=4),
+    st.integers(0, 4),
+    st.sampled_from([None, 0, 2, "\t"]),
+    st.booleans(),
+    st.integers(1, 40),
+)
+def test_a_list_is_read_as_it_is_at_once_however_it_is_written_and_cut(
+    servers, beside, place, indent, ascii, window
+):
     beside.pop("servers", None)
     pairs = list(beside.items())
     pairs.insert(place, ("servers", servers))
@@ -39,14 +48,41 @@
         listing.WINDOW = last
 
 
-@pytest.mark.parametrize("body", [
-    b"", b" ", b"{", b"[]", b"null", b"{}", b'{"version":1}', b'{"servers":{}}', b'{"servers":null}',
-    b'{"servers":[', b'{"servers":[1', b'{"servers":[1,', b'{"servers":[1]', b'{"servers":[1]]',
-    b'{"servers":[1 2]}', b'{"servers":[1,]}', b'{"servers":[,1]}', b'{"servers":[1]}x', b'{"servers":[1],}',
-    b'{"servers":[1]}{}', b'{"servers":[],"servers":[]}', b'{"servers":[{]}', b'{"servers":[{"id":}]}',
-    b'{"a" "servers":[]}', b'{1:2,"servers":[]}', b'{"servers":["\xff"]}', b'{"servers":["\xc3', b"\xff\xfe",
-    b'{"servers":[' + b"[" * 100000, b'{"a":' * 100000,
-])
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b" ",
+        b"{",
+        b"[]",
+        b"null",
+        b"{}",
+        b'{"version":1}',
+        b'{"servers":{}}',
+        b'{"servers":null}',
+        b'{"servers":[',
+        b'{"servers":[1',
+        b'{"servers":[1,',
+        b'{"servers":[1]',
+        b'{"servers":[1]]',
+        b'{"servers":[1 2]}',
+        b'{"servers":[1,]}',
+        b'{"servers":[,1]}',
+        b'{"servers":[1]}x',
+        b'{"servers":[1],}',
+        b'{"servers":[1]}{}',
+        b'{"servers":[],"servers":[]}',
+        b'{"servers":[{]}',
+        b'{"servers":[{"id":}]}',
+        b'{"a" "servers":[]}',
+        b'{1:2,"servers":[]}',
+        b'{"servers":["\xff"]}',
+        b'{"servers":["\xc3',
+        b"\xff\xfe",
+        b'{"servers":[' + b"[" * 100000,
+        b'{"a":' * 100000,
+    ],
+)
 @pytest.mark.parametrize("window", [1, 7, 65536])
 def test_what_is_no_list_is_told_so(body, window, monkeypatch):
     monkeypatch.setattr(listing, "WINDOW", window)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -205,10 +205,21 @@
     member, other = c.named("m0"), Cluster(2, 2, name="other").named("m1")
     good = [s.data for s in c.named("m1").leave(c.now)][0]
     before = {n: (m.state, m.incarnation) for n, m in member.members.items()}
-    bad = [b"", b"{", b"[]", b"null", b"\xff\xfe", good[:-7], b"[" * 5000,
-           *[s.data for s in other.leave(0.0)], other.tick(9.0)[0].data,
-           good.replace(b'"r":[[', b'"r":[["x","h",0,1,0,{}],['), good.replace(b'"leave"', b'"x"')[:-1],
-           good.replace(b'"k":"more"', b'"k":"else"'), b'{"c":"c","k":"ping"}']
+    bad = [
+        b"",
+        b"{",
+        b"[]",
+        b"null",
+        b"\xff\xfe",
+        good[:-7],
+        b"[" * 5000,
+        *[s.data for s in other.leave(0.0)],
+        other.tick(9.0)[0].data,
+        good.replace(b'"r":[[', b'"r":[["x","h",0,1,0,{}],['),
+        good.replace(b'"leave"', b'"x"')[:-1],
+        good.replace(b'"k":"more"', b'"k":"else"'),
+        b'{"c":"c","k":"ping"}',
+    ]
     for data in bad:
         assert member.receive(c.now, ("10.9.9.9", 1), data) == []
     assert {n: (m.state, m.incarnation) for n, m in member.members.items()} == before
@@ -302,15 +313,22 @@
         assert not play(seed).referee.breaches
 
 
-@pytest.mark.parametrize("bug, test", [
-    (no_refutation, storms), (news_without_bound, storms),
-    (incarnations_that_go_back, storms),
-    (trusts_one_accuser, lambda: test_false_deaths_at_loss(0.3, 0)),
-    (old_words_count, lambda: test_a_death_is_found_by_all_within_a_bound_and_a_new_life_is_taken(1)),
-    (dead_in_an_exchange_taken_as_it_stands,
-     lambda: test_a_split_of_any_length_heals_and_takes_no_neighbour_along(24, 60, 15)),
-    (no_doubt_of_oneself, lambda: test_a_member_that_hears_nothing_makes_no_one_hold_another_dead(1)),
-    (rumours_without_bound, lambda: test_a_cluster_comes_together_through_its_seeds(30))])
+@pytest.mark.parametrize(
+    "bug, test",
+    [
+        (no_refutation, storms),
+        (news_without_bound, storms),
+        (incarnations_that_go_back, storms),
+        (trusts_one_accuser, lambda: test_false_deaths_at_loss(0.3, 0)),
+        (old_words_count, lambda: test_a_death_is_found_by_all_within_a_bound_and_a_new_life_is_taken(1)),
+        (
+            dead_in_an_exchange_taken_as_it_stands,
+            lambda: test_a_split_of_any_length_heals_and_takes_no_neighbour_along(24, 60, 15),
+        ),
+        (no_doubt_of_oneself, lambda: test_a_member_that_hears_nothing_makes_no_one_hold_another_dead(1)),
+        (rumours_without_bound, lambda: test_a_cluster_comes_together_through_its_seeds(30)),
+    ],
+)
 def test_a_planted_bug_is_caught(bug, test, monkeypatch):
     bug(monkeypatch)
     with pytest.raises((AssertionError, KeyError)):
--- a/tests/test_membership_service.py
+++ b/tests/test_membership_service.py
@@ -16,8 +16,14 @@
 
 
 def member(name, *seeds, cluster="c1"):
-    return {"name": name, "membership": {"cluster": cluster, "listen": "127.0.0.1:0",
-                                         "seeds": [f"127.0.0.1:{port}" for port in seeds]}}
+    return {
+        "name": name,
+        "membership": {
+            "cluster": cluster,
+            "listen": "127.0.0.1:0",
+            "seeds": [f"127.0.0.1:{port}" for port in seeds],
+        },
+    }
 
 
 def port(node):
@@ -90,12 +96,20 @@
         assert (await node.call("GET /members"))[0] == 404 and node.node.member is None
 
 
-@pytest.mark.parametrize("odd", [
-    5, {}, {"cluster": "c"}, {"cluster": "", "listen": "127.0.0.1:0"}, {"cluster": "c", "listen": "x"},
-    {"cluster": "c", "listen": "127.0.0.1:0", "seeds": "x"},
-    {"cluster": "c", "listen": "127.0.0.1:0", "more": 1},
-    {"cluster": "c", "listen": "127.0.0.1:0", "advertise": 5},
-    {"cluster": "c", "listen": "127.0.0.1:0", "seeds": ["x"]}])
+@pytest.mark.parametrize(
+    "odd",
+    [
+        5,
+        {},
+        {"cluster": "c"},
+        {"cluster": "", "listen": "127.0.0.1:0"},
+        {"cluster": "c", "listen": "x"},
+        {"cluster": "c", "listen": "127.0.0.1:0", "seeds": "x"},
+        {"cluster": "c", "listen": "127.0.0.1:0", "more": 1},
+        {"cluster": "c", "listen": "127.0.0.1:0", "advertise": 5},
+        {"cluster": "c", "listen": "127.0.0.1:0", "seeds": ["x"]},
+    ],
+)
 def test_malformed_membership_is_refused(odd):
     with pytest.raises(ValueError):
         read_membership(odd)
@@ -106,8 +120,9 @@
     tree["membership"]["listen"] = "127.0.0.1:x"
     (tmp_path / "config.json").write_text(json.dumps(tree))
     env = {**os.environ, "RELAY_CONFIG": str(tmp_path / "config.json")}
-    ended = subprocess.run([sys.executable, "-m", "calicomast.net"], env=env, capture_output=True, text=True,
-                           timeout=60)
+    ended = subprocess.run(
+        [sys.executable, "-m", "calicomast.net"], env=env, capture_output=True, text=True, timeout=60
+    )
     assert ended.returncode == 2 and ended.stderr.count("\n") == 1
 
 
@@ -126,15 +141,20 @@
         del tree["name"]
         (tmp_path / "registry.json").write_text(json.dumps(tree))
         env = {**os.environ, "REGISTRY_CONFIG": str(tmp_path / "registry.json")}
-        process = subprocess.Popen([sys.executable, "-m", "calicomast.registry"], env=env, text=True,
-                                   stderr=subprocess.PIPE)
+        process = subprocess.Popen(
+            [sys.executable, "-m", "calicomast.registry"], env=env, text=True, stderr=subprocess.PIPE
+        )
         try:
             view = node.node.member.swim.view
             await until(lambda: len(view()) == 2)
             (name,) = view().keys() - {"a"}
             seen = await asyncio.to_thread(ask, int(name.rpartition(":")[2]), "/members")
-            assert seen["name"] == name and {row["name"]: row["kind"] for row in seen["members"]} == {
-                "a": "gateway", name: "registry"} and not seen["disagree"]
+            assert (
+                seen["name"] == name
+                and {row["name"]: row["kind"] for row in seen["members"]}
+                == {"a": "gateway", name: "registry"}
+                and not seen["disagree"]
+            )
         finally:
             process.terminate()
             assert await asyncio.to_thread(process.communicate)
--- a/tests/test_module_streams.py
+++ b/tests/test_module_streams.py
@@ -58,14 +58,25 @@
 
     def configure(self):
         rng = self.rng
-        plans = [plan("small", rate=2.0, burst=8.0), plan("wide", rate=50.0, burst=200.0, price=2.0),
-                 plan("even", rate=1.0 + rng.randrange(3), burst=6.0, over_worth=0.5, over_cost=0.2),
-                 plan("capped", rate=20.0, burst=40.0, open_limit=12, ceiling_rate=30.0, ceiling_burst=90.0)]
+        plans = [
+            plan("small", rate=2.0, burst=8.0),
+            plan("wide", rate=50.0, burst=200.0, price=2.0),
+            plan("even", rate=1.0 + rng.randrange(3), burst=6.0, over_worth=0.5, over_cost=0.2),
+            plan("capped", rate=20.0, burst=40.0, open_limit=12, ceiling_rate=30.0, ceiling_burst=90.0),
+        ]
         rules = dict(cold_time=rng.choice((5.0, 10.0, 18.0)), cold_share=rng.choice((0.0, 0.2)))
         limits = dict(second_copies=rng.random() < 0.7, cancel=rng.random() < 0.8)
         index = getattr(self, "index", rng.randrange(self.gateways))
-        return settings(plans, limits, rules, index=index, gateways=self.gateways, zone=self.zones[0],
-                        classes={c.name: c for c in CLASSES}, discovery=self.discovery)
+        return settings(
+            plans,
+            limits,
+            rules,
+            index=index,
+            gateways=self.gateways,
+            zone=self.zones[0],
+            classes={c.name: c for c in CLASSES},
+            discovery=self.discovery,
+        )
 
     def put(self, after, make):
         heapq.heappush(self.due, (self.now + after, next(self.order), make))
@@ -180,7 +191,7 @@
         back = [(name, h) for name, (at, h) in self.left.items() if self.now - at < KEEPS]
         match rng.randrange(12):
             case 0 | 1 if len(names) > 4:
-                for h in some[:max(1, len(names) // 4)]:
+                for h in some[: max(1, len(names) // 4)]:
                     self.lose(h)
                     self.delta(self.replace(h, state="down"))
             case 2 if len(names) > 4:
@@ -253,8 +264,11 @@
         self.open[name] = {"cls": cls.name, "live": set(), "numbers": itertools.count(), "hosts": {}}
         spread = max(1, min(self.gateways, 1 + n % 60))
         left = cls.deadline * rng.choice((1.0, 1.0, 0.5, 0.01))
-        self.handle(api.Request(name, left, f"c{n}", of, cls.name, rng.choice((1.0, 1.0, 2.0)), 0, spread,
-                                rng.random() < 0.1))
+        self.handle(
+            api.Request(
+                name, left, f"c{n}", of, cls.name, rng.choice((1.0, 1.0, 2.0)), 0, spread, rng.random() < 0.1
+            )
+        )
         if rng.random() < 0.02:
             self.put(0.3, lambda: name in self.open and self.handle(api.Gone(name)))
 
--- a/tests/test_net_admission.py
+++ b/tests/test_net_admission.py
@@ -38,9 +38,16 @@
     assert [g.ask(9.0, "10.0.0.1") for _ in range(3)] == ["", "", "new_per_source"]  # saved up for a second
 
 
-@pytest.mark.parametrize("one, other, same", [
-    ("10.0.0.1", "10.0.0.2", False), ("10.0.0.1", "10.0.0.1", True), ("fe80::1%eth0", "fe80::2", True),
-    ("2001:db8::1", "2001:db8::2", True), ("2001:db8::1", "2001:db8:0:1::1", False)])
+@pytest.mark.parametrize(
+    "one, other, same",
+    [
+        ("10.0.0.1", "10.0.0.2", False),
+        ("10.0.0.1", "10.0.0.1", True),
+        ("fe80::1%eth0", "fe80::2", True),
+        ("2001:db8::1", "2001:db8::2", True),
+        ("2001:db8::1", "2001:db8:0:1::1", False),
+    ],
+)
 def test_addresses_of_one_prefix_are_one_source(one, other, same):
     g = gate(per_source=1)
     assert g.ask(0.0, one) == "" and (g.ask(0.0, other) == "per_source") == same
@@ -70,15 +77,28 @@
     assert sum(s.held for s in g.sources.values()) == 0
 
 
-@pytest.mark.parametrize("told, word", [
-    (5, "object"), ({"per_source": -1}, "edge.per_source"), ({"per_source": 1.5}, "edge.per_source"),
-    ({"per_source": True}, "edge.per_source"), ({"new": "9"}, "edge.new"), ({"more": 1}, "edge.more"),
-    ({"new": float("nan")}, "edge.new"), ({"prefix4": 33}, "edge.prefix4"), ({"fronts": "x"}, "edge.fronts"),
-    ({"fronts": ["x"]}, "edge.fronts"), ({"fronts": ["10.0.0.1/8"]}, "edge.fronts"),
-    ({"fronts": [5]}, "edge.fronts"), ({"turns": 1}, "edge.turns"), ({"weights": []}, "edge.weights"),
-    ({"weights": {"10.0.0.0/8": 0}}, "edge.weights.10.0.0.0/8"), ({"weights": {"ten": 1}}, "edge.weights"),
-    ({"half_closed": True, "turns": False}, "edge.half_closed"),
-])
+@pytest.mark.parametrize(
+    "told, word",
+    [
+        (5, "object"),
+        ({"per_source": -1}, "edge.per_source"),
+        ({"per_source": 1.5}, "edge.per_source"),
+        ({"per_source": True}, "edge.per_source"),
+        ({"new": "9"}, "edge.new"),
+        ({"more": 1}, "edge.more"),
+        ({"new": float("nan")}, "edge.new"),
+        ({"prefix4": 33}, "edge.prefix4"),
+        ({"fronts": "x"}, "edge.fronts"),
+        ({"fronts": ["x"]}, "edge.fronts"),
+        ({"fronts": ["10.0.0.1/8"]}, "edge.fronts"),
+        ({"fronts": [5]}, "edge.fronts"),
+        ({"turns": 1}, "edge.turns"),
+        ({"weights": []}, "edge.weights"),
+        ({"weights": {"10.0.0.0/8": 0}}, "edge.weights.10.0.0.0/8"),
+        ({"weights": {"ten": 1}}, "edge.weights"),
+        ({"half_closed": True, "turns": False}, "edge.half_closed"),
+    ],
+)
 def test_malformed_limits_are_refused_with_path_and_reason(told, word):
     with pytest.raises(ValueError, match=word):
         read_edge(told)
@@ -137,6 +157,7 @@
 async def test_where_descriptors_end_accepting_pauses_and_goes_on(tmp_path, monkeypatch, caplog):
     monkeypatch.setattr(admission, "PAUSE", 0.05)
     async with StubHost() as host, Node(host, path=tmp_path, more=edge()) as node:
+
         class Empty:
             def __init__(self, sock):
                 self.sock, self.left, self.tries = sock, 3, 0
@@ -247,9 +268,12 @@
             await read_reply(reader)
             (client,) = node.node.clients.clients
             sock = client.transport.get_extra_info("socket")
-            options = (socket.SOL_SOCKET, socket.SO_KEEPALIVE), (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE), (
-                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
-            assert tuple(sock.getsockopt(*option) for option in options)[:len(told)] == told
+            options = (
+                (socket.SOL_SOCKET, socket.SO_KEEPALIVE),
+                (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE),
+                (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT),
+            )
+            assert tuple(sock.getsockopt(*option) for option in options)[: len(told)] == told
 
 
 def test_a_full_backlog_shows():
--- a/tests/test_net_answers.py
+++ b/tests/test_net_answers.py
@@ -29,15 +29,25 @@
 LOST = 0.5  # s past its time after which a request counts as lost
 READY = 6.0  # s in which a restarted process has to be ready on the shortest days
 ROOT = Path(__file__).resolve().parent.parent
-ROUGH = {"serve": VALUE, "are silent": None, "break off": b"", "turn away": b"-BUSY\r\n",
-         "fail": b"-ERR failed\r\n", "answer half": b"*3\r\n$5\r\nval", "spoil": b"*3\r\n$x\r\n",
-         "are away": None}
+ROUGH = {
+    "serve": VALUE,
+    "are silent": None,
+    "break off": b"",
+    "turn away": b"-BUSY\r\n",
+    "fail": b"-ERR failed\r\n",
+    "answer half": b"*3\r\n$5\r\nval",
+    "spoil": b"*3\r\n$x\r\n",
+    "are away": None,
+}
 
 
 def asked(number, due):
     """Commands of each effect with `due` ms to go."""
-    return [command(b"r%d" % number, terms(d=str(due))), write(b"w%d" % number, b"write", due),
-            write(b"n%d" % number, b"note", due)]
+    return [
+        command(b"r%d" % number, terms(d=str(due))),
+        write(b"w%d" % number, b"write", due),
+        write(b"n%d" % number, b"note", due),
+    ]
 
 
 @pytest.mark.parametrize("held", [False, True])
@@ -66,8 +76,11 @@
                 await asyncio.sleep(0.1)
                 time.sleep(0.3)
 
-        plays = [ask(due, texts) for n, due in enumerate((20, 60, 250, 700))
-                 for texts in ([text] for text in asked(n, due))]
+        plays = [
+            ask(due, texts)
+            for n, due in enumerate((20, 60, 250, 700))
+            for texts in ([text] for text in asked(n, due))
+        ]
         plays += [ask(due, asked(n, due)) for n, due in enumerate((20, 60, 250, 700), 10)]
         await asyncio.gather(*plays, *([hold()] if held else []))
         assert len(answers) == 24 and {answer[:1] for answer in answers} <= {b"$", b"-"}
@@ -95,12 +108,21 @@
         if away == "not there":
             await discovery.runner.cleanup()
         config = tmp_path / "config.json"
-        config.write_text(json.dumps(told([entry(host)], port, counter.port,
-                                          SETTINGS | {"registry_mode": mode, "group_size": 200})))
+        config.write_text(
+            json.dumps(
+                told([entry(host)], port, counter.port, SETTINGS | {"registry_mode": mode, "group_size": 200})
+            )
+        )
         began = time.monotonic()
         program = await asyncio.create_subprocess_exec(
-            sys.executable, "-B", "-m", "calicomast.net", cwd=ROOT, stderr=subprocess.PIPE,
-            env={**os.environ, "RELAY_CONFIG": str(config), "TMPDIR": str(tmp_path)})
+            sys.executable,
+            "-B",
+            "-m",
+            "calicomast.net",
+            cwd=ROOT,
+            stderr=subprocess.PIPE,
+            env={**os.environ, "RELAY_CONFIG": str(config), "TMPDIR": str(tmp_path)},
+        )
         try:
             while b"listens on" not in (line := await program.stderr.readline()):
                 assert line, "it ended"
--- a/tests/test_net_bans.py
+++ b/tests/test_net_bans.py
@@ -23,9 +23,21 @@
     assert "h1" not in two.read() and two.known["h2"].out  # a return is forgotten in time, a ban never
 
 
-@pytest.mark.parametrize("text", [
-    "", "{", "[]", "null", '{"h1": 1}', '{"h1": {"out": 1, "at": 2}}', '{"h1": {"out": true}}',
-    '{"h1": {"out": true, "at": NaN}}', '{"h1": {"out": true, "at": true}}', "\x00\xff"])
+@pytest.mark.parametrize(
+    "text",
+    [
+        "",
+        "{",
+        "[]",
+        "null",
+        '{"h1": 1}',
+        '{"h1": {"out": 1, "at": 2}}',
+        '{"h1": {"out": true}}',
+        '{"h1": {"out": true, "at": NaN}}',
+        '{"h1": {"out": true, "at": true}}',
+        "\x00\xff",
+    ],
+)
 def test_a_torn_or_foreign_file_changes_nothing_and_is_written_over(text, tmp_path):
     bans = Bans(tmp_path, "n0")
     bans.say(api.Ban("h1", True, 5.0))
--- a/tests/test_net_changes.py
+++ b/tests/test_net_changes.py
@@ -30,9 +30,11 @@
 
 EXTRA = SETTINGS["services"][0] | {"name": "extra"}
 # On a machine that is busy with other things nothing is taken for late; and no quota is met.
-PATIENT = SETTINGS | {"specifics": SETTINGS["specifics"] | {"counter_timeout": 5_000_000_000},
-                      "limits": SETTINGS["limits"] | {"cancel": False},
-                      "plans": [{"name": "p", "rate": 1e6, "most_at_once": 1e7}]}
+PATIENT = SETTINGS | {
+    "specifics": SETTINGS["specifics"] | {"counter_timeout": 5_000_000_000},
+    "limits": SETTINGS["limits"] | {"cancel": False},
+    "plans": [{"name": "p", "rate": 1e6, "most_at_once": 1e7}],
+}
 
 
 async def config(node):
@@ -60,13 +62,24 @@
     """All that a change may touch, as it can be seen from outside the subsystem."""
     n = node.node
     return {
-        "config": n.config, "settings": n.settings, "module": n.module.set,
-        "connects": n.hosts.connect_timeout, "rests": n.hosts.idle_time,
-        "discovery": n.discovery.url, "watch": n.discovery.watching,
-        "timeout": n.counter.timeout, "counter": [line.address for line in n.counter.lines],
-        "clients": n.clients.most, "hosts": n.hosts.most, "bodies": n.clients.budget.most,
-        "classes": dict(n.module.fleet.mean), "plans": dict(n.module.uses), "current": n.changes.current,
-        "history": n.changes.history, "connections": set(n.hosts.conns) | set(n.clients.clients)}
+        "config": n.config,
+        "settings": n.settings,
+        "module": n.module.set,
+        "connects": n.hosts.connect_timeout,
+        "rests": n.hosts.idle_time,
+        "discovery": n.discovery.url,
+        "watch": n.discovery.watching,
+        "timeout": n.counter.timeout,
+        "counter": [line.address for line in n.counter.lines],
+        "clients": n.clients.most,
+        "hosts": n.hosts.most,
+        "bodies": n.clients.budget.most,
+        "classes": dict(n.module.fleet.mean),
+        "plans": dict(n.module.uses),
+        "current": n.changes.current,
+        "history": n.changes.history,
+        "connections": set(n.hosts.conns) | set(n.clients.clients),
+    }
 
 
 @on_loop
@@ -77,9 +90,16 @@
         assert told["digest"] == digest(json.dumps(told["config"], sort_keys=True)) and told["since"] > 1e9
         before = in_force(node)
         good = await candidate(node, settings__plans__0__rate=5.0, limits__sockets=900)
-        assert await node.call("POST /config/check", good) == (200, {"more": 0, "changes": [
-            {"path": "limits.sockets", "from": 1024, "to": 900},
-            {"path": "settings.plans.p.rate", "from": 1000.0, "to": 5.0}]})
+        assert await node.call("POST /config/check", good) == (
+            200,
+            {
+                "more": 0,
+                "changes": [
+                    {"path": "limits.sockets", "from": 1024, "to": 900},
+                    {"path": "settings.plans.p.rate", "from": 1000.0, "to": 5.0},
+                ],
+            },
+        )
         bad = await candidate(node, settings__plans__0__rate="5", discovery="nowhere")
         status, told = await node.call("POST /config/check", bad)
         assert status == 400 and {f["path"] for f in told["faults"]} == {"discovery", "settings.plans.0.rate"}
@@ -91,8 +111,12 @@
 @on_loop
 async def test_a_change_is_applied_whole_and_a_repeat_finds_it_done(tmp_path):
     async with StubHost() as host, Node(host, path=tmp_path) as node:
-        text = await candidate(node, settings__services=[*SETTINGS["services"], EXTRA],
-                               settings__limits__connect_timeout=100_000_000, limits__sockets=512)
+        text = await candidate(
+            node,
+            settings__services=[*SETTINGS["services"], EXTRA],
+            settings__limits__connect_timeout=100_000_000,
+            limits__sockets=512,
+        )
         assert await node.ask(command(b"early", terms(c="extra"))) != SERVED
         for changed in (True, False):
             status, told = await apply(node, text, 1)
@@ -101,7 +125,9 @@
         assert node.node.hosts.connect_timeout == 0.1 and node.node.clients.most == (512 - 64) // 2
         history = (await node.call("GET /config/history"))[1]["versions"]
         assert [(v["version"], v["by"], v["in_force"]) for v in history] == [
-            (1, "start", False), (2, "call", True)]
+            (1, "start", False),
+            (2, "call", True),
+        ]
 
 
 @on_loop
@@ -125,16 +151,33 @@
         assert (await config(node))["version"] == 2
 
 
-@pytest.mark.parametrize("call", [
-    "GET /config/apply?expect=1", "POST /config", "POST /config/history", "GET /config/check",
-    "POST /config/check?x=1", "POST /config/apply", "POST /config/apply?expect=",
-    "POST /config/apply?expect=x", "POST /config/apply?expect=-1", "POST /config/apply?expect=1&expect=1",
-    "POST /config/apply?expect=1&more=2",
-    "POST /config/apply?expect=1&confirm_within=", "POST /config/apply?expect=1&confirm_within=0",
-    "POST /config/apply?expect=1&confirm_within=nan", "POST /config/apply?expect=1&confirm_within=1e9",
-    "POST /config/apply?expect=" + "9" * 40, "POST /config/confirm", "POST /config/confirm?version=2",
-    "POST /config/rollback", "POST /config/rollback?to=7", "GET /config/rollback?to=1", "GET /config?x=1",
-])
+@pytest.mark.parametrize(
+    "call",
+    [
+        "GET /config/apply?expect=1",
+        "POST /config",
+        "POST /config/history",
+        "GET /config/check",
+        "POST /config/check?x=1",
+        "POST /config/apply",
+        "POST /config/apply?expect=",
+        "POST /config/apply?expect=x",
+        "POST /config/apply?expect=-1",
+        "POST /config/apply?expect=1&expect=1",
+        "POST /config/apply?expect=1&more=2",
+        "POST /config/apply?expect=1&confirm_within=",
+        "POST /config/apply?expect=1&confirm_within=0",
+        "POST /config/apply?expect=1&confirm_within=nan",
+        "POST /config/apply?expect=1&confirm_within=1e9",
+        "POST /config/apply?expect=" + "9" * 40,
+        "POST /config/confirm",
+        "POST /config/confirm?version=2",
+        "POST /config/rollback",
+        "POST /config/rollback?to=7",
+        "GET /config/rollback?to=1",
+        "GET /config?x=1",
+    ],
+)
 @on_loop
 async def test_a_wrong_call_is_a_no_and_changes_nothing(call, tmp_path):
     async with StubHost() as host, Node(host, path=tmp_path) as node:
@@ -157,8 +200,9 @@
 async def test_a_caller_that_waits_to_be_told_to_go_on_is_told(tmp_path):
     async with StubHost() as host, Node(host, path=tmp_path) as node:
         reader, writer = await asyncio.open_connection("127.0.0.1", node.control_port)
-        writer.write(b"POST /config/check HTTP/1.1\r\nHost: g\r\nExpect: 100-continue\r\n"
-                     b"Content-Length: 2\r\n\r\n")
+        writer.write(
+            b"POST /config/check HTTP/1.1\r\nHost: g\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n"
+        )
         assert b" 100 " in await reader.readline()
         writer.write(b"{}")
         assert b" 400 " in await reader.read()
@@ -224,8 +268,12 @@
 
 @on_loop
 async def test_the_list_of_a_new_discovery_is_there_with_the_change(tmp_path):
-    async with (StubHost() as one, StubHost() as two, StubDiscovery() as other,
-                Node(one, path=tmp_path) as node):
+    async with (
+        StubHost() as one,
+        StubHost() as two,
+        StubDiscovery() as other,
+        Node(one, path=tmp_path) as node,
+    ):
         other.servers, other.version = [entry(two, "h2")], 70
         assert (await apply(node, await candidate(node, discovery=f"127.0.0.1:{other.port}")))[0] == 200
         assert node.node.discovery.version == 70 and list(node.node.hosts.pools) == ["h2"]
@@ -239,7 +287,9 @@
         tree = json.loads(node.file.read_text()) | {"discovery": "127.0.0.1:1"}
         node.file.write_text(json.dumps(tree))
         node.node.reload()
-        assert (await config(node))["by"] == "signal" and node.node.discovery.url.startswith("http://127.0.0.1:1/")
+        assert (await config(node))["by"] == "signal" and node.node.discovery.url.startswith(
+            "http://127.0.0.1:1/"
+        )
         assert await node.ask(command(b"a")) == SERVED
         assert (await node.call("POST /config/rollback?to=1"))[0] == 200
         assert node.node.discovery.url.startswith(f"http://127.0.0.1:{node.discovery.port}/")
@@ -269,6 +319,7 @@
 @on_loop
 async def test_a_prepare_that_a_signal_overtook_lets_go_of_all(tmp_path, monkeypatch):
     async with StubHost() as host, Node(host, path=tmp_path) as node:
+
         async def overtaken(changes, change):
             tree = json.loads(node.file.read_text())
             tree["settings"]["plans"][0]["rate"] = 77.0
@@ -295,19 +346,29 @@
 @pytest.mark.parametrize("step", list(STEPS))
 @on_loop
 async def test_a_fault_at_any_step_leaves_the_old_configuration_in_force(step, tmp_path, monkeypatch):
-    async with (StubHost() as host, StubDiscovery() as other, StubCounter() as counter,
-                Node(host, path=tmp_path) as node):
+    async with (
+        StubHost() as host,
+        StubDiscovery() as other,
+        StubCounter() as counter,
+        Node(host, path=tmp_path) as node,
+    ):
         other.servers = [entry(host), entry(host, "h2")]
         await until(lambda: all(line.transport for line in node.node.counter.lines))
         assert await node.ask(command(b"before")) == SERVED
         await until(lambda: not node.node.clients.clients)
         await has_settled(node.node.hosts.pools["h1"])  # the next request goes out on the same connection
         text = await candidate(
-            node, settings__services=[*SETTINGS["services"], EXTRA], discovery=f"127.0.0.1:{other.port}",
-            counter=f"127.0.0.1:{counter.port}", settings__limits__connect_timeout=7, limits__sockets=700,
-            settings__limits__idle_close=7_000_000_000, settings__specifics__counter_timeout=7_000_000,
+            node,
+            settings__services=[*SETTINGS["services"], EXTRA],
+            discovery=f"127.0.0.1:{other.port}",
+            counter=f"127.0.0.1:{counter.port}",
+            settings__limits__connect_timeout=7,
+            limits__sockets=700,
+            settings__limits__idle_close=7_000_000_000,
+            settings__specifics__counter_timeout=7_000_000,
             settings__plans=[*SETTINGS["plans"], {"name": "more", "rate": 1.0, "most_at_once": 5.0}],
-            limits__memory_mb=190)
+            limits__memory_mb=190,
+        )
         before, kept = in_force(node), (tmp_path / "n0-config.json").read_bytes()
 
         async def fails(changes, change):
@@ -330,9 +391,13 @@
     assert list(STEPS) == ["module", "room", "discovery", "counter", "history"]
 
 
-@pytest.mark.parametrize("path, value, word", [
-    ("limits__sockets", 140, "connections of clients"), ("limits__memory_mb", 32, "bytes"),
-])
+@pytest.mark.parametrize(
+    "path, value, word",
+    [
+        ("limits__sockets", 140, "connections of clients"),
+        ("limits__memory_mb", 32, "bytes"),
+    ],
+)
 @on_loop
 async def test_smaller_limits_than_what_is_in_use_are_refused(path, value, word, tmp_path):
     async with StubHost() as host, Node(host, path=tmp_path) as node:
@@ -404,8 +469,9 @@
         reader, writer = await node.connect()
         writer.write(command(b"open", terms(c="read", t="small")))
         await host.arrived.get()
-        text = await candidate(node, settings__services=SETTINGS["services"][1:],
-                               settings__plans=SETTINGS["plans"][:1])
+        text = await candidate(
+            node, settings__services=SETTINGS["services"][1:], settings__plans=SETTINGS["plans"][:1]
+        )
         assert (await apply(node, text))[0] == 200
         assert await node.ask(command(b"new", terms(c="read"))) == b"-ERR unknown class or plan\r\n"
         assert await node.ask(command(b"new", terms(t="small"))) == b"-ERR unknown class or plan\r\n"
@@ -415,6 +481,7 @@
 
 # Two processes of one gateway
 
+
 @on_loop
 async def test_two_processes_end_on_the_same_version_whichever_got_the_call(tmp_path):
     async with StubHost() as host, Node(host, path=tmp_path) as old:
@@ -433,8 +500,11 @@
 
 @on_loop
 async def test_what_one_process_applies_the_other_confirms_or_undoes(tmp_path):
-    async with (StubHost() as host, Node(host, path=tmp_path) as old,
-                Node(host, path=tmp_path, beside=old) as new):
+    async with (
+        StubHost() as host,
+        Node(host, path=tmp_path) as old,
+        Node(host, path=tmp_path, beside=old) as new,
+    ):
         assert (await apply(old, await candidate(old, settings__plans__0__rate=5.0), within=3600))[0] == 200
         assert (await new.call("POST /config/confirm?version=2"))[0] == 200
         assert (await config(old))["pending"] is None and old.node.changes.timer is None
@@ -461,6 +531,7 @@
 @on_loop
 async def test_death_between_history_and_commit_leaves_the_new_version_to_the_next(tmp_path, monkeypatch):
     async with StubHost() as host, Node(host, path=tmp_path) as old:
+
         class Killed(BaseException):
             pass
 
@@ -493,11 +564,21 @@
             await until(lambda: new.node.settings.plans["p"].rate == 1000.0)
 
 
-@pytest.mark.parametrize("text", [
-    "", "{", "null", "[]", '["x", null, []]', "\x00\xff", "[" * 5000, '["x", null, [[1]]]',
-    '["x", null, [[1, "no digest of it", 1.0, "start", null, {}]]]',
-    '["x", {"number": 1, "back": 7, "until": 1}, [[1, "' + digest("{}") + '", 1.0, "start", null, {}]]]',
-])
+@pytest.mark.parametrize(
+    "text",
+    [
+        "",
+        "{",
+        "null",
+        "[]",
+        '["x", null, []]',
+        "\x00\xff",
+        "[" * 5000,
+        '["x", null, [[1]]]',
+        '["x", null, [[1, "no digest of it", 1.0, "start", null, {}]]]',
+        '["x", {"number": 1, "back": 7, "until": 1}, [[1, "' + digest("{}") + '", 1.0, "start", null, {}]]]',
+    ],
+)
 @on_loop
 async def test_a_torn_or_foreign_history_changes_nothing_and_is_written_anew(text, tmp_path, caplog):
     async with StubHost() as host, Node(host, path=tmp_path) as old:
@@ -546,13 +627,18 @@
 
 # Under traffic
 
+
 @on_loop
 async def test_hundreds_of_changes_under_traffic_lose_no_request_and_mix_no_rules(scratch):
-    async with (StubHost() as one, StubHost() as two,
-                Node(one, two, path=scratch, settings=PATIENT) as node):
-        texts = [await candidate(node, settings__services=[*SETTINGS["services"], *extra],
-                                 settings__limits__connect_timeout=time)
-                 for extra, time in (([], 250_000_000), ([EXTRA], 300_000_000))]
+    async with StubHost() as one, StubHost() as two, Node(one, two, path=scratch, settings=PATIENT) as node:
+        texts = [
+            await candidate(
+                node,
+                settings__services=[*SETTINGS["services"], *extra],
+                settings__limits__connect_timeout=time,
+            )
+            for extra, time in (([], 250_000_000), ([EXTRA], 300_000_000))
+        ]
         done, answers = asyncio.Event(), []
 
         async def client(name):
@@ -575,7 +661,9 @@
         assert changes.current.number == 301 and len(answers) > 300
         assert {answer for cls, answer in answers if cls == "read"} == {SERVED}
         assert {answer for cls, answer in answers if cls == "extra"} == {
-            SERVED, b"-ERR unknown class or plan\r\n"}
+            SERVED,
+            b"-ERR unknown class or plan\r\n",
+        }
         assert not node.node.works and len(changes.history.versions) == module.MOST_VERSIONS
 
 
@@ -595,6 +683,7 @@
 
 # Off
 
+
 @on_loop
 async def test_without_a_second_address_nothing_of_it_is_there(tmp_path):
     """A gateway with no `control` imports no part of this, keeps no file and holds no descriptor for it."""
@@ -620,6 +709,12 @@
             asyncio.run(main())"""
         env = {k: v for k, v in os.environ.items() if not k.startswith("RELAY_")}
         env |= {"RELAY_CONFIG": str(node.file), "TMPDIR": str(tmp_path / "off")}
-        ended = await asyncio.to_thread(subprocess.run, [sys.executable, "-B", "-c", code], env=env,
-                                        capture_output=True, text=True, timeout=60)
+        ended = await asyncio.to_thread(
+            subprocess.run,
+            [sys.executable, "-B", "-c", code],
+            env=env,
+            capture_output=True,
+            text=True,
+            timeout=60,
+        )
         assert ended.returncode == 7, ended.stderr
--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -16,18 +16,39 @@
 PING = b"*1\r\n$4\r\nPING\r\n"
 
 
-@pytest.mark.parametrize("bad", [
-    b"*1\r\n$7\r\nUNKNOWN\r\n", b"*0\r\n", b"*-1\r\n", b":5\r\n", b"*2\r\n$8\r\nAPI.READ\r\n*0\r\n",
-    command(terms=terms(d=None)), command(terms=terms(d="soon")), command(terms=terms(d="-1")),
-    command(terms=terms(c="none")), command(terms=terms(t="none")), command(terms=terms(units="nan")),
-    command(terms=terms(spread="0")), command(terms=terms(c="note")), command(terms=b"\xff\xfe"),
-    command(terms=terms(c=None)), command(customer=b"xyz"), command(id=b""), command(body=b"BODY"),
-    command(terms=terms(d="9" * 400)), command(terms=terms(d="9" * 12)), command(terms=terms(units="1e999")),
-    command(terms=terms(c="write"), verb=b"API.WRITE", body=b"x"),  # keyed, without its key
-    command(terms=terms(c="write"), verb=b"API.WRITE", body=b"x" * 65537),
-    command(terms=terms(units="1e12")), command(terms=terms(units="0")), command(terms=terms(spread="2")),
-    command(terms=terms(first="1")), command(customer=b"0000000200000000"),
-])
+@pytest.mark.parametrize(
+    "bad",
+    [
+        b"*1\r\n$7\r\nUNKNOWN\r\n",
+        b"*0\r\n",
+        b"*-1\r\n",
+        b":5\r\n",
+        b"*2\r\n$8\r\nAPI.READ\r\n*0\r\n",
+        command(terms=terms(d=None)),
+        command(terms=terms(d="soon")),
+        command(terms=terms(d="-1")),
+        command(terms=terms(c="none")),
+        command(terms=terms(t="none")),
+        command(terms=terms(units="nan")),
+        command(terms=terms(spread="0")),
+        command(terms=terms(c="note")),
+        command(terms=b"\xff\xfe"),
+        command(terms=terms(c=None)),
+        command(customer=b"xyz"),
+        command(id=b""),
+        command(body=b"BODY"),
+        command(terms=terms(d="9" * 400)),
+        command(terms=terms(d="9" * 12)),
+        command(terms=terms(units="1e999")),
+        command(terms=terms(c="write"), verb=b"API.WRITE", body=b"x"),  # keyed, without its key
+        command(terms=terms(c="write"), verb=b"API.WRITE", body=b"x" * 65537),
+        command(terms=terms(units="1e12")),
+        command(terms=terms(units="0")),
+        command(terms=terms(spread="2")),
+        command(terms=terms(first="1")),
+        command(customer=b"0000000200000000"),
+    ],
+)
 @on_loop
 async def test_bad_commands_are_answered_and_the_connection_goes_on(bad, tmp_path):
     async with StubHost() as host, Node(host, path=tmp_path) as node:
@@ -38,10 +59,22 @@
         assert not host.commands
 
 
-@pytest.mark.parametrize("bad", [b"GET / HTTP/1.1\r\n\r\n", b"*1\r\n$70000\r\n" + b"x" * 69900, b"*x\r\n",
-                                 b"*99999999999\r\n", b"*4294967295\r\n", b"*1000000000\r\n",
-                                 b"*2\r\n$8\r\nAPI.READ\r\n*1000000000\r\n", b"$60000000\r\n",
-                                 b"%1000000000\r\n", b"*" + b"1" * 5000, b"*two\r\n"])
+@pytest.mark.parametrize(
+    "bad",
+    [
+        b"GET / HTTP/1.1\r\n\r\n",
+        b"*1\r\n$70000\r\n" + b"x" * 69900,
+        b"*x\r\n",
+        b"*99999999999\r\n",
+        b"*4294967295\r\n",
+        b"*1000000000\r\n",
+        b"*2\r\n$8\r\nAPI.READ\r\n*1000000000\r\n",
+        b"$60000000\r\n",
+        b"%1000000000\r\n",
+        b"*" + b"1" * 5000,
+        b"*two\r\n",
+    ],
+)
 @on_loop
 async def test_lost_framing_ends_only_its_own_connection(bad, tmp_path):
     async with StubHost() as host, Node(host, path=tmp_path) as node:
@@ -90,8 +123,9 @@
         assert [await read_reply(reader) for _ in range(3)] == [SERVED, SERVED, b""]
 
 
-@pytest.mark.parametrize("part", [b"", b"*", b"*4\r\n$8\r\nAPI.READ\r\n", command()[:-9],
-                                  command() + b"*1\r\n"])
+@pytest.mark.parametrize(
+    "part", [b"", b"*", b"*4\r\n$8\r\nAPI.READ\r\n", command()[:-9], command() + b"*1\r\n"]
+)
 @on_loop
 async def test_a_peer_without_a_whole_command_is_not_kept(part, tmp_path, monkeypatch):
     monkeypatch.setattr(clients, "HEAD_WITHIN", 0.3)
@@ -161,8 +195,9 @@
 @pytest.mark.parametrize("why", ["pipeline", "drain", "body", "answers"])
 @pytest.mark.parametrize("behind", [b"", command(b"behind") * 200])
 @on_loop
-async def test_of_a_client_that_went_while_it_was_not_read_nothing_is_sent_on(why, behind, held, tmp_path,
-                                                                             monkeypatch):
+async def test_of_a_client_that_went_while_it_was_not_read_nothing_is_sent_on(
+    why, behind, held, tmp_path, monkeypatch
+):
     """Its end stands behind bytes that nobody reads."""
     async with StubHost() as host, Node(host, path=tmp_path) as node:
         held(node)
@@ -181,8 +216,10 @@
         assert not node.node.module.jobs and not host.commands
 
 
-@pytest.mark.parametrize("sent", [command(b"%d", LONG), command(b"%d", LONG) + command(b"b%d", LONG),
-                                  command(b"%d", LONG) + b"*4\r\n$"])
+@pytest.mark.parametrize(
+    "sent",
+    [command(b"%d", LONG), command(b"%d", LONG) + command(b"b%d", LONG), command(b"%d", LONG) + b"*4\r\n$"],
+)
 @on_loop
 async def test_clients_that_go_in_one_burst_leave_nothing_to_send(sent, held, tmp_path):
     async with StubHost() as host, Node(host, path=tmp_path) as node:
@@ -230,8 +267,10 @@
 async def test_a_request_that_crosses_a_close_takes_no_answer_along(size, what, tmp_path, monkeypatch):
     """It comes between the gateway's last look at what is unread and its end: the answer before it still gets
     there whole, the connection ends with no reset, and what crossed is not sent on."""
-    async with StubHost(b"*3\r\n$%d\r\n%s\r\n$-1\r\n$-1\r\n" % (size, b"v" * size)) as host, \
-            Node(host, path=tmp_path) as node:
+    async with (
+        StubHost(b"*3\r\n$%d\r\n%s\r\n$-1\r\n$-1\r\n" % (size, b"v" * size)) as host,
+        Node(host, path=tmp_path) as node,
+    ):
         peer, look, crossed = Peer(node.port, 4096), clients.Client.unread, []
 
         def looking(client):
@@ -429,8 +468,11 @@
             return look(client)
 
         for name in ("unread", "check_taken"):
-            monkeypatch.setattr(clients.Client, name, broken if name == "unread" else lambda c, now: (
-                broken(c) if c is spoilt else None))
+            monkeypatch.setattr(
+                clients.Client,
+                name,
+                broken if name == "unread" else lambda c, now: broken(c) if c is spoilt else None,
+            )
         node.node.clients.most = 3
         assert await node.ask(command()) == SERVED
         assert [await reader.read() for reader, _ in peers[1:]] == [b"-ERR no whole command in time\r\n"] * 2
@@ -485,6 +527,7 @@
 @on_loop
 async def test_one_that_comes_costs_the_same_however_many_there_are(tmp_path):
     """Whichever is to go is found without a look at all of them."""
+
     class Counted(dict):
         looks = 0
 
--- a/tests/test_net_connects.py
+++ b/tests/test_net_connects.py
@@ -106,8 +106,13 @@
         assert hosts.coming == sum(len(pool.coming) for pool in pools)
         resting = sorted(conn.idle_since for pool in pools for conn in pool.idle)
         assert kind is Hoards or [conn.idle_since for conn in hosts.idle] == resting
-        settled = {conn for pool in pools if pool.waiting for conn in pool.idle
-                   if monotonic() - conn.idle_since > 5 * pool.settle}
+        settled = {
+            conn
+            for pool in pools
+            if pool.waiting
+            for conn in pool.idle
+            if monotonic() - conn.idle_since > 5 * pool.settle
+        }
         beside = Counter({conn: beside[conn] + 1 for conn in settled})
         # The loop's timers fire in order: a few turns after that time its own has fired, however late all is.
         assert max(beside.values(), default=0) < 5, "one waits beside a connection at rest"
@@ -127,8 +132,9 @@
     assert connects < attempts  # they are shared
 
 
-@pytest.mark.parametrize("bug, why", [(Unbounded, "by host"), (Hoards, "waits beside|TimeoutError"),
-                                      (Forgets, "")])
+@pytest.mark.parametrize(
+    "bug, why", [(Unbounded, "by host"), (Hoards, "waits beside|TimeoutError"), (Forgets, "")]
+)
 @on_loop
 async def test_planted_bugs_are_caught(bug, why):
     with pytest.raises((AssertionError, TimeoutError)) as caught:
@@ -141,6 +147,7 @@
 @on_loop
 async def test_an_attempt_waits_no_longer_than_a_connect_may_take(most):
     """Whether no connect is free in all, or those that come up do not come up in time."""
+
     class Slow(SharedPool):
         async def open(self):
             await asyncio.Event().wait()
--- a/tests/test_net_control.py
+++ b/tests/test_net_control.py
@@ -18,21 +18,41 @@
         await node.call("POST /standby")
         status, told = await node.call("GET /status")
         listed = told.pop("list")
-        assert (status, told) == (503, {"ready": False, "state": "standby", "hosts": ["h1"], "hosts_out": [],
-                                        "requests": 0, "clients": 0})
+        assert (status, told) == (
+            503,
+            {
+                "ready": False,
+                "state": "standby",
+                "hosts": ["h1"],
+                "hosts_out": [],
+                "requests": 0,
+                "clients": 0,
+            },
+        )
         assert listed["version"] == 1 and listed["age"] < 20 and listed["failures"] == 0
     async with Node(path=tmp_path) as node:  # it knows no host
         assert (await node.call("GET /status"))[0] == 503
 
 
-@pytest.mark.parametrize("call, status", [
-    ("GET /nothing", 404), ("POST /status", 405), ("HEAD /status", 405), ("GET /status?x=1", 400),
-    ("GET /maintenance/enter?host=h1", 405), ("POST /maintenance/enter", 400),
-    ("POST /maintenance/enter?host=", 400), ("POST /maintenance/enter?host=h1&host=h2", 400),
-    ("POST /maintenance/enter?host=h1&more=1", 400), ("POST /maintenance/enter?host=h9", 404),
-    ("POST /maintenance/exit?host=h9", 404), ("GET /standby", 405), ("POST /active?now", 400),
-    ("nonsense", 400),
-])
+@pytest.mark.parametrize(
+    "call, status",
+    [
+        ("GET /nothing", 404),
+        ("POST /status", 405),
+        ("HEAD /status", 405),
+        ("GET /status?x=1", 400),
+        ("GET /maintenance/enter?host=h1", 405),
+        ("POST /maintenance/enter", 400),
+        ("POST /maintenance/enter?host=", 400),
+        ("POST /maintenance/enter?host=h1&host=h2", 400),
+        ("POST /maintenance/enter?host=h1&more=1", 400),
+        ("POST /maintenance/enter?host=h9", 404),
+        ("POST /maintenance/exit?host=h9", 404),
+        ("GET /standby", 405),
+        ("POST /active?now", 400),
+        ("nonsense", 400),
+    ],
+)
 @on_loop
 async def test_a_wrong_call_is_a_no_and_changes_nothing(call, status, tmp_path):
     async with StubHost() as host, Node(host, path=tmp_path) as node:
@@ -44,8 +64,10 @@
 @on_loop
 async def test_callers_that_say_nothing_starve_nobody_and_are_not_kept(tmp_path, monkeypatch):
     async with StubHost() as host, Node(host, path=tmp_path) as node:
-        idle = [await asyncio.open_connection("127.0.0.1", node.control_port)
-                for _ in range(2 * control.MOST_CALLERS)]
+        idle = [
+            await asyncio.open_connection("127.0.0.1", node.control_port)
+            for _ in range(2 * control.MOST_CALLERS)
+        ]
         assert (await node.call("GET /status"))[0] == 200
         assert await idle[0][0].read() == b""  # the oldest went
         assert await node.ask(command()) == SERVED
@@ -130,7 +152,8 @@
 
 @on_loop
 async def test_a_connection_in_use_is_not_read_for_ever_in_a_drain_and_active_takes_it_back(
-        tmp_path, monkeypatch):
+    tmp_path, monkeypatch
+):
     monkeypatch.setattr(clients, "LAST_READ", 0.05)
     async with StubHost(None) as host, Node(host, path=tmp_path) as node:
         reader, writer = await node.connect()
--- a/tests/test_net_counter.py
+++ b/tests/test_net_counter.py
@@ -54,8 +54,9 @@
         assert await results.get() == "ok"
 
 
-@pytest.mark.parametrize("odd", [b"ok\r\n", b"ok many\r\n", b"pong\r\n", b"ok inf\r\n", b"x" * 5000,
-                                 b"what\r\n"])
+@pytest.mark.parametrize(
+    "odd", [b"ok\r\n", b"ok many\r\n", b"pong\r\n", b"ok inf\r\n", b"x" * 5000, b"what\r\n"]
+)
 @on_loop
 async def test_odd_answers_of_the_counter_cost_only_the_connection(odd, tmp_path):
     async with StubHost() as host, Node(host, path=tmp_path) as node:
--- a/tests/test_net_descriptors.py
+++ b/tests/test_net_descriptors.py
@@ -135,8 +135,12 @@
 @on_loop
 async def test_with_no_descriptor_left_connections_end_and_make_room(edge, tmp_path):
     """The clients' share is full, and so is the process: of those at rest one goes for each that comes."""
-    async with StubHost() as host, StubCounter() as counter, StubDiscovery() as discovery, \
-            program(tmp_path, host, counter, discovery, 64, **edge) as gateway:
+    async with (
+        StubHost() as host,
+        StubCounter() as counter,
+        StubDiscovery() as discovery,
+        program(tmp_path, host, counter, discovery, 64, **edge) as gateway,
+    ):
         rests = [await gateway.connect() for _ in range(16)]
         for peer in rests:
             assert await gateway.ping(*peer) == PONG
@@ -162,8 +166,12 @@
 async def test_a_crowd_that_stays_takes_no_place_from_clients_that_work(edge, tmp_path):
     """Hundreds that asked once and stay, or send no whole request, and never end their side; the clients that
     work are at rest while these come."""
-    async with StubHost() as host, StubCounter() as counter, StubDiscovery() as discovery, \
-            program(tmp_path, host, counter, discovery, 128, **edge) as gateway:
+    async with (
+        StubHost() as host,
+        StubCounter() as counter,
+        StubDiscovery() as discovery,
+        program(tmp_path, host, counter, discovery, 128, **edge) as gateway,
+    ):
         gateway.limit(128)
         works, crowd, most = [await gateway.connect() for _ in range(8)], [], 0
         for _ in range(2):
@@ -193,8 +201,12 @@
 @on_loop
 async def test_ends_of_connections_hold_no_more_descriptors_than_clients_may(edge, tmp_path):
     """Each that is to go for a new one lingers, as its client does not end its side."""
-    async with StubHost() as host, StubCounter() as counter, StubDiscovery() as discovery, \
-            program(tmp_path, host, counter, discovery, 128, **edge) as gateway:
+    async with (
+        StubHost() as host,
+        StubCounter() as counter,
+        StubDiscovery() as discovery,
+        program(tmp_path, host, counter, discovery, 128, **edge) as gateway,
+    ):
         own, most = len(gateway.used()), 0
         for _ in range(5 * ROOM):
             peer = await gateway.connect()
@@ -209,8 +221,13 @@
 async def test_short_of_descriptors_it_serves_its_clients_and_is_whole_again_after(left, edge, tmp_path):
     """Others come meanwhile, to both addresses, discovery goes, and another process takes a host out: none of
     it spins, and what could not be opened then is opened later."""
-    async with StubHost() as host, StubHost() as late, StubCounter() as counter, \
-            StubDiscovery() as discovery, program(tmp_path, host, counter, discovery, **edge) as gateway:
+    async with (
+        StubHost() as host,
+        StubHost() as late,
+        StubCounter() as counter,
+        StubDiscovery() as discovery,
+        program(tmp_path, host, counter, discovery, **edge) as gateway,
+    ):
         rests, others = [await gateway.connect() for _ in range(4)], []
         for peer in rests:
             assert await gateway.ask(*peer) == SERVED
@@ -257,8 +274,12 @@
 async def test_without_the_loops_reserve_accepting_neither_spins_nor_ends(edge, tmp_path):
     """A limit below all that is open: what closes a connection cannot be opened again, whoever took it, so
     the loop cannot even shut what comes. It may accept again when there are descriptors, more than once."""
-    async with StubHost() as host, StubCounter() as counter, StubDiscovery() as discovery, \
-            program(tmp_path, host, counter, discovery, **edge) as gateway:
+    async with (
+        StubHost() as host,
+        StubCounter() as counter,
+        StubDiscovery() as discovery,
+        program(tmp_path, host, counter, discovery, **edge) as gateway,
+    ):
         rests, others = [await gateway.connect() for _ in range(4)], []
         for peer in rests:
             assert await gateway.ask(*peer) == SERVED
@@ -330,13 +351,19 @@
         return getattr(self.sock, name)
 
 
-@pytest.mark.parametrize("sent", [b"", b"GET /status HT",
-                                  b"POST /config/check HTTP/1.1\r\nHost: x\r\nContent-Length: 5000\r\n\r\n"],
-                         ids=["nothing", "half a head", "no body"])
+@pytest.mark.parametrize(
+    "sent",
+    [b"", b"GET /status HT", b"POST /config/check HTTP/1.1\r\nHost: x\r\nContent-Length: 5000\r\n\r\n"],
+    ids=["nothing", "half a head", "no body"],
+)
 @on_loop
 async def test_a_crowd_at_the_control_address_takes_a_bounded_part_of_the_descriptors(sent, tmp_path):
-    async with StubHost() as host, StubCounter() as counter, StubDiscovery() as discovery, \
-            program(tmp_path, host, counter, discovery) as gateway:
+    async with (
+        StubHost() as host,
+        StubCounter() as counter,
+        StubDiscovery() as discovery,
+        program(tmp_path, host, counter, discovery) as gateway,
+    ):
         peer, crowd = await gateway.connect(), []
         assert await gateway.ask(*peer) == SERVED
         own, most = len(gateway.used()), 0
@@ -418,8 +445,13 @@
 async def test_short_of_descriptors_discovery_and_the_counter_are_reached_once_they_are_back(left, tmp_path):
     """New clients took the descriptors that their connections had. A change that discovery then has is in
     force within the time in which it counts as told, and clients at rest are served throughout."""
-    async with StubHost() as host, StubHost() as late, StubCounter() as counter, \
-            StubDiscovery() as discovery, program(tmp_path, host, counter, discovery) as gateway:
+    async with (
+        StubHost() as host,
+        StubHost() as late,
+        StubCounter() as counter,
+        StubDiscovery() as discovery,
+        program(tmp_path, host, counter, discovery) as gateway,
+    ):
         rests, others = [await gateway.connect() for _ in range(4)], []
         for peer in rests:
             assert await gateway.ask(*peer) == SERVED
@@ -482,14 +514,20 @@
     return taken
 folder = Path(sys.argv[1])
 """
-    ended = subprocess.run([sys.executable, "-B", "-c", head + code, str(path)], cwd=ROOT, timeout=60,
-                           capture_output=True, text=True)
+    ended = subprocess.run(
+        [sys.executable, "-B", "-c", head + code, str(path)],
+        cwd=ROOT,
+        timeout=60,
+        capture_output=True,
+        text=True,
+    )
     assert ended.returncode == 0, ended.stderr
 
 
 def test_who_else_lives_stays_known_without_descriptors(tmp_path):
     """One that counted itself alone would take the other's part of the descriptors."""
-    without_descriptors("""
+    without_descriptors(
+        """
 one, two = Lives(folder, "n0"), Lives(folder, "n0")
 one.begin(), two.begin()
 assert two.others() == 1
@@ -497,11 +535,14 @@
     assert two.others() == 1
 one.end()
 assert two.others() == 0
-""", tmp_path)
+""",
+        tmp_path,
+    )
 
 
 def test_a_ban_that_cannot_be_read_is_read_later_and_never_written_over(tmp_path):
-    without_descriptors("""
+    without_descriptors(
+        """
 one, two = Bans(folder, "n0"), Bans(folder, "n0")
 one.say(api.Ban("h1", True, 5.0))
 with full():
@@ -513,12 +554,15 @@
 assert two.read() == {"h1": api.Ban("h1", True, 5.0)} and not two.changed()
 two.say(api.Ban("h2", True, 6.0))
 assert one.read().keys() == {"h1", "h2"}
-""", tmp_path)
+""",
+        tmp_path,
+    )
 
 
 def test_a_history_that_cannot_be_read_or_written_is_read_later_and_stays_whole(tmp_path):
     """The files that the processes of a gateway share; the history is one."""
-    without_descriptors("""
+    without_descriptors(
+        """
 from calicomast.net.bans import Kept
 one, two = Kept(folder / "x.json"), Kept(folder / "x.json")
 with one.locked():
@@ -533,11 +577,14 @@
 with one.locked():
     one.write("second")
 assert two.changed() and two.read() == "second"
-""", tmp_path)
+""",
+        tmp_path,
+    )
 
 
 def test_a_list_that_cannot_be_kept_leaves_the_last_one_and_is_kept_later(tmp_path):
-    without_descriptors("""
+    without_descriptors(
+        """
 import asyncio
 from calicomast.base.listing import Listing
 from calicomast.net.replicas import Replicas
@@ -555,4 +602,6 @@
             pass  # nor can it be read
     assert told(3) == 3
 asyncio.run(play())
-""", tmp_path)
+""",
+        tmp_path,
+    )
--- a/tests/test_net_discovery.py
+++ b/tests/test_net_discovery.py
@@ -41,8 +41,15 @@
         assert [c[2] for c in new.commands] == [b"b"]
 
 
-@pytest.mark.parametrize("raw", ["{", "[]", '{"version":3,"full":true,"servers":[{"id":"h9"}]}',
-                                 '{"version":"x","full":false,"servers":[]}'])
+@pytest.mark.parametrize(
+    "raw",
+    [
+        "{",
+        "[]",
+        '{"version":3,"full":true,"servers":[{"id":"h9"}]}',
+        '{"version":"x","full":false,"servers":[]}',
+    ],
+)
 @on_loop
 async def test_malformed_lists_leave_the_last_one_in_force(raw, tmp_path):
     async with StubHost() as host, Node(host, path=tmp_path) as node:
@@ -181,8 +188,13 @@
     async with StubHost() as one, StubHost() as two, Node(one, two, path=tmp_path) as node:
         while "index" not in await node.discovery.call():
             pass
-        node.discovery.raw = json.dumps({"version": 2, "full": False, "servers": [
-            entry(two, "h2"), {"id": "h1", "state": "draining", "weight": "heavy"}]})
+        node.discovery.raw = json.dumps(
+            {
+                "version": 2,
+                "full": False,
+                "servers": [entry(two, "h2"), {"id": "h1", "state": "draining", "weight": "heavy"}],
+            }
+        )
         node.discovery.version, node.discovery.servers = 2, [entry(one, "h1", "draining"), entry(two, "h2")]
         await until(lambda: node.discovery.raw is None)
         while "index" in await node.discovery.call():
@@ -302,8 +314,9 @@
 
 @pytest.mark.parametrize("error, calls, least", [(TimeoutError, 2, 2.75), (OSError, 1, 1.375)])
 @on_loop
-async def test_a_watch_that_falls_silent_is_asked_again_at_once_and_only_then(error, calls, least,
-                                                                             monkeypatch):
+async def test_a_watch_that_falls_silent_is_asked_again_at_once_and_only_then(
+    error, calls, least, monkeypatch
+):
     """What fails at one moment for all waits, the longer the more gateways there are, as far as the time
     allows after which changes count as told: after the first failure that is half of it at most."""
     asked, slept, done = [], [], asyncio.Event()
@@ -353,6 +366,7 @@
     """The whole list comes each time, so no failure follows another: without a pause it would be asked for
     without end."""
     async with StubHost() as host, Node(host, path=tmp_path) as node:
+
         async def garbled(index, wait):
             return [{"id": "h1", "state": "draining"}, {"id": 5}]
 
@@ -380,8 +394,12 @@
 @on_loop
 async def test_a_signal_to_an_address_that_tells_nothing_yet_keeps_the_last_list(how, tmp_path):
     """And the old address, which goes on telling, is heard no more."""
-    async with StubHost() as one, StubHost() as two, StubDiscovery() as other, \
-            Node(one, two, path=tmp_path) as node:
+    async with (
+        StubHost() as one,
+        StubHost() as two,
+        StubDiscovery() as other,
+        Node(one, two, path=tmp_path) as node,
+    ):
         while "index" not in await node.discovery.call():
             pass
         setattr(other, how, True)
@@ -400,8 +418,12 @@
 
 @on_loop
 async def test_a_list_of_the_old_address_that_comes_in_the_turn_of_a_signal_is_not_taken(tmp_path):
-    async with StubHost() as one, StubHost() as two, StubDiscovery() as other, \
-            Node(one, two, path=tmp_path) as node:
+    async with (
+        StubHost() as one,
+        StubHost() as two,
+        StubDiscovery() as other,
+        Node(one, two, path=tmp_path) as node,
+    ):
         while "index" not in await node.discovery.call():
             pass
         other.version, other.servers = 3, [entry(one, "h1")]
@@ -527,8 +549,12 @@
 
 def test_an_outage_is_no_rush_of_calls(monkeypatch):
     """Two hundred gateways ask less than 60 times a second over 8 s of refusals, their calls spread."""
-    outages = [outage for seed in range(400) for outage in [played(monkeypatch, 200, seed, False, 0)]
-               if outage.back - outage.away > 8.0]
+    outages = [
+        outage
+        for seed in range(400)
+        for outage in [played(monkeypatch, 200, seed, False, 0)]
+        if outage.back - outage.away > 8.0
+    ]
     calls = [at - outage.away for outage in outages for at in outage.calls if 0 <= at - outage.away < 8.0]
     assert len(calls) / 8.0 / len(outages) * 200 < 60.0
     later = [at for at in calls if at < 3.0]  # their second ones, after all watches broke at one moment
--- a/tests/test_net_fetch.py
+++ b/tests/test_net_fetch.py
@@ -13,7 +13,10 @@
 WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(BODY), BODY)
 CLOSING = WHOLE.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n", 1)
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\n%s\r\n%x\r\n%s\r\n0\r\n\r\n" % (
-    BODY[:3], len(BODY) - 3, BODY[3:])
+    BODY[:3],
+    len(BODY) - 3,
+    BODY[3:],
+)
 TO_THE_END = b"HTTP/1.0 200 OK\r\n\r\n" + BODY
 
 
@@ -57,8 +60,9 @@
 @pytest.mark.parametrize("bytewise", [False, True])
 @pytest.mark.parametrize("answer, connections", [(WHOLE, 1), (CHUNKED, 1), (CLOSING, 3), (TO_THE_END, 3)])
 @on_loop
-async def test_answers_of_each_form_are_read_and_a_connection_is_kept_where_it_may_be(answer, connections,
-                                                                                       bytewise):
+async def test_answers_of_each_form_are_read_and_a_connection_is_kept_where_it_may_be(
+    answer, connections, bytewise
+):
     async with Said(answer, answer, answer, bytewise=bytewise) as said:
         fetcher = Fetcher()
         assert [await fetcher.get(said.address, "/v1?a=1", 2.0) for _ in range(3)] == [{"a": 1}] * 3
@@ -77,12 +81,19 @@
         fetcher.close()
 
 
-@pytest.mark.parametrize("answer, error", [
-    (b"", Broken), (WHOLE[:-1], Broken), (WHOLE[:10], Broken), (b"what\r\n\r\n", Broken),
-    (b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{]", ValueError),
-    (b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n", Refused),
-    (b"HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n" + b"1" * 3000, Broken),
-    (b"HTTP/1.1 200 OK\r\n" + b"x: y\r\n" * 50000, Broken)])
+@pytest.mark.parametrize(
+    "answer, error",
+    [
+        (b"", Broken),
+        (WHOLE[:-1], Broken),
+        (WHOLE[:10], Broken),
+        (b"what\r\n\r\n", Broken),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{]", ValueError),
+        (b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n", Refused),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n" + b"1" * 3000, Broken),
+        (b"HTTP/1.1 200 OK\r\n" + b"x: y\r\n" * 50000, Broken),
+    ],
+)
 @on_loop
 async def test_what_is_no_answer_raises_and_the_next_call_begins_anew(answer, error, monkeypatch):
     monkeypatch.setattr(fetch, "MOST_BODY", 2000)
@@ -105,13 +116,19 @@
             await fetcher.get(("127.0.0.1", 1), "/", 1.0)
 
 
-@pytest.mark.parametrize("head, piece", [
-    (b"HTTP/1.1 200 OK\r\n", b"X-More: y\r\n"), (b"HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n", b" "),
-    (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", b"1\r\n \r\n")],
-    ids=["head", "body", "chunks"])
+@pytest.mark.parametrize(
+    "head, piece",
+    [
+        (b"HTTP/1.1 200 OK\r\n", b"X-More: y\r\n"),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n", b" "),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", b"1\r\n \r\n"),
+    ],
+    ids=["head", "body", "chunks"],
+)
 @on_loop
 async def test_an_answer_in_pieces_without_end_is_given_up_as_silence_is(head, piece):
     """Its time is that of the whole call: a piece does not begin it anew."""
+
     async def answer(reader, writer):
         writer.write(head)
         while not writer.is_closing():
--- a/tests/test_net_gateway.py
+++ b/tests/test_net_gateway.py
@@ -66,6 +66,7 @@
 async def test_a_module_that_says_nothing_does_not_lose_the_request(tmp_path, monkeypatch):
     monkeypatch.setattr(gateway, "GUARD", 2.0)  # as above
     async with StubHost() as host, Node(host, path=tmp_path) as node:
+
         class Mute:
             def handle(self, now, event):
                 return []
@@ -79,6 +80,7 @@
 @on_loop
 async def test_a_timer_never_reaches_the_module_early(tmp_path):
     async with StubHost() as host, Node(host, path=tmp_path) as node:
+
         class Clocked:
             def __init__(self):
                 self.early, self.seen, self.done = [], 0, asyncio.Event()
@@ -124,11 +126,10 @@
             await node.connect()
 
 
-
-
 @on_loop
 async def test_a_second_copy_is_not_sent_where_it_is_not_allowed(tmp_path):
     async with StubHost(None) as one, StubHost() as two, Node(one, two, path=tmp_path) as node:
+
         class Doubler:
             results = []
 
--- a/tests/test_net_gone.py
+++ b/tests/test_net_gone.py
@@ -130,8 +130,11 @@
     """The module finds an attempt late: it asks for a second copy, or calls that off and tries again. The
     loop gets to the timer before it gets to the client's end."""
     limits = SETTINGS["limits"] | {"second_copies": copies}
-    async with StubHost() as one, StubHost() as two, \
-            Node(one, two, path=tmp_path, settings=SETTINGS | {"limits": limits}) as node:
+    async with (
+        StubHost() as one,
+        StubHost() as two,
+        Node(one, two, path=tmp_path, settings=SETTINGS | {"limits": limits}) as node,
+    ):
         for name in ("h1", "h2"):  # a connection rests at each: what goes out does so at once
             node.node.hosts.probe(name, lambda attempt: None)
             await until(lambda name=name: node.node.hosts.pools[name].idle)
@@ -210,9 +213,13 @@
 
 @on_loop
 async def test_a_half_closed_client_still_gets_its_answer_where_that_is_asked_for_but_none_after_a_reset(
-        tmp_path):
-    async with StubHost(None) as one, StubHost(None) as two, \
-            Node(one, two, path=tmp_path, more={"edge": {"half_closed": True}}) as node:
+    tmp_path,
+):
+    async with (
+        StubHost(None) as one,
+        StubHost(None) as two,
+        Node(one, two, path=tmp_path, more={"edge": {"half_closed": True}}) as node,
+    ):
         peer = Leaver(node)
         peer.sock.sendall(command())
         await until(lambda: one.commands or two.commands)
@@ -229,8 +236,13 @@
         one.answer = two.answer = None
         peer = Leaver(node)
         peer.sock.sendall(command(b"r2"))
-        await until(lambda: "r2" in node.node.works and node.node.works["r2"].live.get(0)
-                    and node.node.works["r2"].live[0].written)
+        await until(
+            lambda: (
+                "r2" in node.node.works
+                and node.node.works["r2"].live.get(0)
+                and node.node.works["r2"].live[0].written
+            )
+        )
         (attempt,) = node.node.works["r2"].live.values()
         peer.end("reset")
         attempt.conn.data_received(BUSY)
