--- a/tests/test_net_hosts.py
+++ b/tests/test_net_hosts.py
@@ -29,18 +29,38 @@
 @on_loop
 async def test_a_report_that_says_nothing_sound_is_ignored(tmp_path):
     async with StubHost() as host, Node(host, path=tmp_path) as node:
-        for n, report in enumerate((b"$-1\r\n", b"$3\r\n???\r\n", b"$10\r\nactive=nan\r\n",
-                                    b"$9\r\nactive=-1\r\n",
-                                    b":7\r\n", b"$8\r\nactive=x\r\n")):
+        for n, report in enumerate(
+            (
+                b"$-1\r\n",
+                b"$3\r\n???\r\n",
+                b"$10\r\nactive=nan\r\n",
+                b"$9\r\nactive=-1\r\n",
+                b":7\r\n",
+                b"$8\r\nactive=x\r\n",
+            )
+        ):
             host.answer = b"*3\r\n$1\r\nv\r\n$-1\r\n" + report
             assert await node.ask(command(b"r%d" % n)) == b"$1\r\nv\r\n"
         assert not node.node.module.fleet.reports
 
 
-@pytest.mark.parametrize("odd", [b"+OK\r\n", b"$2\r\nOK\r\n", b"*0\r\n", b"*-1\r\n", b"*1\r\n$-1\r\n",
-                                 b":1\r\n", b"*1\r\n:1\r\n", b"nonsense\r\n", b"$-1\r\n",
-                                 b"*3\r\n$%d\r\n" % (4 * 2 ** 20 + 1), b"*1\r\n$69633\r\n",
-                                 b"*1\r\n$65537\r\n" + b"x" * 65537 + b"\r\n"])
+@pytest.mark.parametrize(
+    "odd",
+    [
+        b"+OK\r\n",
+        b"$2\r\nOK\r\n",
+        b"*0\r\n",
+        b"*-1\r\n",
+        b"*1\r\n$-1\r\n",
+        b":1\r\n",
+        b"*1\r\n:1\r\n",
+        b"nonsense\r\n",
+        b"$-1\r\n",
+        b"*3\r\n$%d\r\n" % (4 * 2**20 + 1),
+        b"*1\r\n$69633\r\n",
+        b"*1\r\n$65537\r\n" + b"x" * 65537 + b"\r\n",
+    ],
+)
 @on_loop
 async def test_what_is_no_value_of_a_host_is_not_served(odd, tmp_path):
     async with StubHost(odd) as host, Node(host, path=tmp_path) as node:
@@ -143,6 +163,7 @@
 async def test_an_attempt_called_off_has_left_the_host_before_the_next_goes_out(tmp_path):
     """Where second copies are not allowed, one attempt's connection must end before the next is written."""
     async with StubHost(None) as one, StubHost() as two, Node(one, two, path=tmp_path) as node:
+
         class Mover:
             def handle(self, now, event):
                 if isinstance(event, api.Request):
@@ -208,8 +229,9 @@
     asks = {"read": command, "note": lambda name: write(name, cls=b"note")}[effect]
     async with Scripted() as host, Node(host, path=tmp_path) as node:
         bear(node.node, 1.0)  # the next one waits for the first one's place
-        node.node.module.fleet.full = lambda *_: bool(node.node.hosts.conns) and any(
-            conn.attempt for conn in node.node.hosts.conns)
+        node.node.module.fleet.full = lambda *_: (
+            bool(node.node.hosts.conns) and any(conn.attempt for conn in node.node.hosts.conns)
+        )
         first = asyncio.create_task(node.ask(asks(b"r1")))
         _, out = await host.commands.get()
         second = asyncio.create_task(node.ask(asks(b"r2")))
@@ -336,8 +358,7 @@
 
         node.node.module = Sender()
         node.node.hosts.listed("silent", silent.getsockname())
-        asked = asyncio.create_task(node.ask(command(
-            b"r1", terms(c="note"), b"API.WRITE", body=body)))
+        asked = asyncio.create_task(node.ask(command(b"r1", terms(c="note"), b"API.WRITE", body=body)))
         await until(lambda: any(conn.attempt for conn in node.node.hosts.conns))
         (conn,) = node.node.hosts.conns
         await until(lambda: not conn.written or len(body) < 100)
--- a/tests/test_net_keys.py
+++ b/tests/test_net_keys.py
@@ -37,27 +37,66 @@
     assert not faults(few)
 
 
-@pytest.mark.parametrize("path, value", [
-    ("discovery", "nowhere"), ("discovery", 8500), ("discovery", None), ("counter", "127.0.0.1:99999"),
-    ("counter", ""), ("counter", None), ("limits", None), ("limits", []), ("limits.sockets", 12),
-    ("limits.sockets", 300.5), ("limits.memory_mb", "64"), ("limits.memory_mb", -1), ("limits.cores", 0),
-    ("settings", "none"), ("settings.index", 1), ("settings.index", -1), ("settings.index", True),
-    ("settings.registry_mode", "guess"), ("settings.locality", ""), ("settings.locality", "a\nb"),
-    ("settings.locality", "x" * 300), ("settings.services", []), ("settings.services", {}),
-    ("settings.services.0.deadline", 0), ("settings.services.0.deadline", "3000000000"),
-    ("settings.services.0.slo", 1.5), ("settings.services.0.effect", "safe"),
-    ("settings.services.0.gain", -1), ("settings.services.1.name", "read"),
-    ("settings.services.0.gain", None), ("settings.services.1.typo", 1),
-    ("settings.plans.0.rate", "10"), ("settings.plans.0.rate", [1]), ("settings.plans.1.most_at_once", 0),
-    ("settings.plans.0.name", 7), ("settings.plans.0.cap_rate", 5), ("settings.limits.max_attempts", 0),
-    ("settings.limits.max_attempts", 1e400), ("settings.limits.retry_after", "true"),
-    ("settings.limits.max_atempts", 3), ("settings.rules.start_capacity", 1.1),
-    ("settings.rules.cold", float("nan")), ("settings.prices.cross_zone", "dear"),
-    ("settings.specifics.counter_timeout", 0), ("settings.specifics.units_top", 0),
-    ("settings.specifics.units_top", float("-inf")), ("settings.reporting.names", [1]),
-    ("settings.reporting.via", 5), ("settings.more", {}), ("more", 1),
-    ("name", "n1"), ("listen", "127.0.0.1:1"), ("seed", "ffff"), ("known", {"version": 2}), ("seed", "xyz"),
-])
+@pytest.mark.parametrize(
+    "path, value",
+    [
+        ("discovery", "nowhere"),
+        ("discovery", 8500),
+        ("discovery", None),
+        ("counter", "127.0.0.1:99999"),
+        ("counter", ""),
+        ("counter", None),
+        ("limits", None),
+        ("limits", []),
+        ("limits.sockets", 12),
+        ("limits.sockets", 300.5),
+        ("limits.memory_mb", "64"),
+        ("limits.memory_mb", -1),
+        ("limits.cores", 0),
+        ("settings", "none"),
+        ("settings.index", 1),
+        ("settings.index", -1),
+        ("settings.index", True),
+        ("settings.registry_mode", "guess"),
+        ("settings.locality", ""),
+        ("settings.locality", "a\nb"),
+        ("settings.locality", "x" * 300),
+        ("settings.services", []),
+        ("settings.services", {}),
+        ("settings.services.0.deadline", 0),
+        ("settings.services.0.deadline", "3000000000"),
+        ("settings.services.0.slo", 1.5),
+        ("settings.services.0.effect", "safe"),
+        ("settings.services.0.gain", -1),
+        ("settings.services.1.name", "read"),
+        ("settings.services.0.gain", None),
+        ("settings.services.1.typo", 1),
+        ("settings.plans.0.rate", "10"),
+        ("settings.plans.0.rate", [1]),
+        ("settings.plans.1.most_at_once", 0),
+        ("settings.plans.0.name", 7),
+        ("settings.plans.0.cap_rate", 5),
+        ("settings.limits.max_attempts", 0),
+        ("settings.limits.max_attempts", 1e400),
+        ("settings.limits.retry_after", "true"),
+        ("settings.limits.max_atempts", 3),
+        ("settings.rules.start_capacity", 1.1),
+        ("settings.rules.cold", float("nan")),
+        ("settings.prices.cross_zone", "dear"),
+        ("settings.specifics.counter_timeout", 0),
+        ("settings.specifics.units_top", 0),
+        ("settings.specifics.units_top", float("-inf")),
+        ("settings.reporting.names", [1]),
+        ("settings.reporting.via", 5),
+        ("settings.more", {}),
+        ("more", 1),
+        ("name", "n1"),
+        ("listen", "127.0.0.1:1"),
+        ("seed", "ffff"),
+        ("known", {"version": 2}),
+        ("seed", "xyz"),
+    ],
+)
 def test_a_fault_is_told_with_its_path_its_value_and_what_is_allowed(path, value):
     found = faults(spoilt(path, value))
     at = path if path in found else "settings.plans.0.cap_depth"  # a rate that lacks its burst
@@ -74,21 +113,40 @@
     tree["settings"]["services"][2]["effect"], tree["limits"]["sockets"] = 5, float("inf")
     assert faults(tree).keys() == {"limits.sockets"}  # what is no JSON number at all comes first
     tree["limits"]["sockets"] = 1
-    assert faults(tree).keys() == {"settings.plans.0.rate", "settings.rules.cold",
-                                   "settings.services.2.effect", "limits.sockets"}
+    assert faults(tree).keys() == {
+        "settings.plans.0.rate",
+        "settings.rules.cold",
+        "settings.services.2.effect",
+        "limits.sockets",
+    }
 
 
 DEEP = b'{"a":' * 5000 + b"1" + b"}" * 5000
 
 
-@pytest.mark.parametrize("body, word", [
-    (b"", "JSON"), (b" ", "JSON"), (b"{", "JSON"), (json.dumps(LAST).encode()[:-9], "JSON"),
-    (b"\xff\xfe{}", "UTF-8"), (b"null", "object"), (b"[]", "object"), (b'"text"', "object"), (b"5", "object"),
-    (b"[" * 100000, "levels"), (DEEP, "levels"), (b'{"a":' * 20 + b"1" + b"}" * 20, "levels"),
-    (b'{"limits":{"cores":1' + b"0" * 5000 + b"}}", "JSON"), (b"[" + b"1," * keys.MOST_BODY + b"1]", "bytes"),
-    (b'{"discovery":"a:1","discovery":"b:2"}', "once"), (b'{"limits":{"cores":NaN}}', "finite"),
-    (b'{"limits":{"cores":-Infinity}}', "finite"), (b'{"limits":{"cores":1e999}}', "finite"),
-])
+@pytest.mark.parametrize(
+    "body, word",
+    [
+        (b"", "JSON"),
+        (b" ", "JSON"),
+        (b"{", "JSON"),
+        (json.dumps(LAST).encode()[:-9], "JSON"),
+        (b"\xff\xfe{}", "UTF-8"),
+        (b"null", "object"),
+        (b"[]", "object"),
+        (b'"text"', "object"),
+        (b"5", "object"),
+        (b"[" * 100000, "levels"),
+        (DEEP, "levels"),
+        (b'{"a":' * 20 + b"1" + b"}" * 20, "levels"),
+        (b'{"limits":{"cores":1' + b"0" * 5000 + b"}}", "JSON"),
+        (b"[" + b"1," * keys.MOST_BODY + b"1]", "bytes"),
+        (b'{"discovery":"a:1","discovery":"b:2"}', "once"),
+        (b'{"limits":{"cores":NaN}}', "finite"),
+        (b'{"limits":{"cores":-Infinity}}', "finite"),
+        (b'{"limits":{"cores":1e999}}', "finite"),
+    ],
+)
 def test_a_body_that_is_no_candidate(body, word):
     tree, found = keys.parse(body)
     found = found or keys.check(tree, LAST)
@@ -108,8 +166,10 @@
     tree["settings"]["services"].append(tree["settings"]["services"][0] | {"name": "extra"})
     del tree["settings"]["services"][2]
     assert {row["path"]: (row["from"], row["to"]) for row in keys.differences(LAST, tree)} == {
-        "settings.plans.small.rate": (1.0, 2.0), "settings.services.note": ("an object of 5", None),
-        "settings.services.extra": (None, "an object of 5")}
+        "settings.plans.small.rate": (1.0, 2.0),
+        "settings.services.note": ("an object of 5", None),
+        "settings.services.extra": (None, "an object of 5"),
+    }
     assert not list(keys.differences({"a": 1}, {"a": 1.0})) and list(keys.differences({"a": 1}, {"a": True}))
 
 
@@ -145,6 +205,15 @@
     assert {name for name in names if not name.startswith("known.")} <= keys.BY_PATH.keys()
     # Prices are read by name in the module, whatever names there are; nothing depends on the cores.
     assert keys.BY_PATH.keys() - names == {"settings.prices.*", "limits.cores"}
-    assert keys.FIXED == {"name", "listen", "control", "seed", "known", "replicas", "edge",
-                          "membership", "view"}
+    assert keys.FIXED == {
+        "name",
+        "listen",
+        "control",
+        "seed",
+        "known",
+        "replicas",
+        "edge",
+        "membership",
+        "view",
+    }
     assert keys.table() in (ROOT / "docs" / "configuration.md").read_text()
--- a/tests/test_net_large.py
+++ b/tests/test_net_large.py
@@ -31,7 +31,7 @@
     reader, got, pieces, at = Reader(SMALL, (2, 1)), [], [], 0
     while at < len(text) or reader.begun:
         size = luck.choice([1, 2, 3, 50, 40000])
-        reader.feed(text[at:at + size])
+        reader.feed(text[at : at + size])
         at += size
         if reader.begun and luck.random() < 0.6:
             reader.pass_on(pieces.append)
@@ -40,10 +40,16 @@
     assert b"".join(pieces) == body + b"\r\n" and got == [[b"PING"], [b"a", b""], [b"PING"]]
 
 
-@pytest.mark.parametrize("text", [
-    b"*4\r\n$8\r\nAPI.READ\r\n$70000\r\n", b"*5\r\n$70000\r\n", b"$70000\r\n",
-    b"*2\r\n*5\r\n$1\r\na\r\n$1\r\na\r\n$1\r\na\r\n$1\r\na\r\n$70000\r\n",
-    b"*5\r\n$1\r\na\r\n$1\r\na\r\n$1\r\na\r\n$1\r\na\r\n$%d\r\n" % (MOST_LARGE + 1)])
+@pytest.mark.parametrize(
+    "text",
+    [
+        b"*4\r\n$8\r\nAPI.READ\r\n$70000\r\n",
+        b"*5\r\n$70000\r\n",
+        b"$70000\r\n",
+        b"*2\r\n*5\r\n$1\r\na\r\n$1\r\na\r\n$1\r\na\r\n$1\r\na\r\n$70000\r\n",
+        b"*5\r\n$1\r\na\r\n$1\r\na\r\n$1\r\na\r\n$1\r\na\r\n$%d\r\n" % (MOST_LARGE + 1),
+    ],
+)
 @on_loop
 async def test_only_a_body_may_be_large_and_none_is_larger_than_the_protocol_allows(text, tmp_path):
     async with StubHost() as host, Node(host, path=tmp_path) as node:
@@ -64,7 +70,7 @@
         assert await reader.readexactly(len(head) + 50) == head + BIG[:50]
         await asyncio.sleep(0.5)  # past its time, which counts to the first bytes
         for at in range(100, len(text), 9999):
-            out.write(text[at:at + 9999])
+            out.write(text[at : at + 9999])
             await out.drain()
         rest = await reader.readexactly(len(BIG) - 50 + 2)
         assert rest == BIG[50:] + b"\r\n" and len(host.commands) == 1
@@ -135,8 +141,11 @@
 async def test_a_large_body_that_comes_slowly_is_sent_whole_and_again_after_a_failure(tmp_path, monkeypatch):
     monkeypatch.setattr(clients, "HEAD_WITHIN", 0.3)
     answers = [b"-BUSY\r\n", value(b"value")]
-    async with StubHost(lambda: answers.pop(0)) as one, StubHost(lambda: answers.pop(0)) as two, \
-            Node(one, two, path=tmp_path) as node:
+    async with (
+        StubHost(lambda: answers.pop(0)) as one,
+        StubHost(lambda: answers.pop(0)) as two,
+        Node(one, two, path=tmp_path) as node,
+    ):
         reader, writer = await node.connect()
         text = upload()
         for part in (text[:90], text[90:130], text[130:200], text[200:500000], text[500000:]):
@@ -165,16 +174,16 @@
     async with StubHost() as host, Node(host, path=tmp_path) as node:
         node.node.looking.cancel()
         node.node.clients.budget.most = len(BIG)
-        head = upload()[:-len(BIG) - 2]
+        head = upload()[: -len(BIG) - 2]
         reader, writer = await node.connect()
         writer.write(head)
         await until(lambda: any(c.reader.begun for c in node.node.clients.clients))
         assert await node.ask(upload()) == SERVED
         assert await reader.read() == b"-ERR no whole command in time\r\n"
         slow, slow_writer = await node.connect()
-        slow_writer.write(upload(b"w2")[:-len(BIG) - 2])
+        slow_writer.write(upload(b"w2")[: -len(BIG) - 2])
         await until(lambda: any(c.reader.begun for c in node.node.clients.clients))
-        slow_writer.write(upload(b"w2")[-len(BIG) - 2:])
+        slow_writer.write(upload(b"w2")[-len(BIG) - 2 :])
         assert await read_reply(slow) == SERVED
 
 
--- a/tests/test_net_process.py
+++ b/tests/test_net_process.py
@@ -39,12 +39,21 @@
     return json.dumps(told([], 1, 2) | kw)
 
 
-@pytest.mark.parametrize("text, word", [
-    (None, "RELAY_CONFIG"), ("{", "Expecting"), ("[]", "list"), ("{}", "settings"),
-    (spoilt(seed="xyz"), "xyz"), (spoilt(listen="nowhere"), "nowhere"),
-    (spoilt(counter=""), "counter"), (spoilt(settings={}), "limits"),
-    (spoilt(known={"version": 1}), "list of hosts"), (spoilt(listen="127.0.0.1:99999999"), "99999999"),
-])
+@pytest.mark.parametrize(
+    "text, word",
+    [
+        (None, "RELAY_CONFIG"),
+        ("{", "Expecting"),
+        ("[]", "list"),
+        ("{}", "settings"),
+        (spoilt(seed="xyz"), "xyz"),
+        (spoilt(listen="nowhere"), "nowhere"),
+        (spoilt(counter=""), "counter"),
+        (spoilt(settings={}), "limits"),
+        (spoilt(known={"version": 1}), "list of hosts"),
+        (spoilt(listen="127.0.0.1:99999999"), "99999999"),
+    ],
+)
 def test_a_bad_configuration_is_one_plain_line(text, word, tmp_path):
     env = {k: v for k, v in os.environ.items() if not k.startswith("RELAY_")}
     if text is not None:
@@ -62,7 +71,8 @@
         config = tmp_path / "config.json"
         config.write_text(json.dumps(told([entry(host)], discovery.port, counter.port)))
         program = await asyncio.create_subprocess_exec(
-            *PROGRAM, cwd=ROOT, env={**os.environ, "RELAY_CONFIG": str(config)}, stderr=subprocess.PIPE)
+            *PROGRAM, cwd=ROOT, env={**os.environ, "RELAY_CONFIG": str(config)}, stderr=subprocess.PIPE
+        )
         port = int((await program.stderr.readline()).decode().rsplit(":", 1)[1])
         reader, writer = await asyncio.open_connection("127.0.0.1", port)
         writer.write(PING)
@@ -88,7 +98,8 @@
         text = told([entry(host)], discovery.port, counter.port)
         config.write_text(json.dumps(text))
         program = await asyncio.create_subprocess_exec(
-            *PROGRAM, cwd=ROOT, env={**os.environ, "RELAY_CONFIG": str(config)}, stderr=subprocess.PIPE)
+            *PROGRAM, cwd=ROOT, env={**os.environ, "RELAY_CONFIG": str(config)}, stderr=subprocess.PIPE
+        )
         port = int((await program.stderr.readline()).decode().rsplit(":", 1)[1])
         reader, writer = await asyncio.open_connection("127.0.0.1", port)
         writer.write(command())
@@ -116,7 +127,8 @@
             text = told([entry(host)], discovery.port, counter.port) | {"listen": f"127.0.0.1:{port}"}
             config.write_text(json.dumps(text))
             program = await asyncio.create_subprocess_exec(
-                *PROGRAM, cwd=ROOT, env={**os.environ, "RELAY_CONFIG": str(config)}, stderr=subprocess.PIPE)
+                *PROGRAM, cwd=ROOT, env={**os.environ, "RELAY_CONFIG": str(config)}, stderr=subprocess.PIPE
+            )
             port = int((await program.stderr.readline()).decode().rsplit(":", 1)[1])
             reader, writer = await asyncio.open_connection("127.0.0.1", port)
             writer.write(command(life))
@@ -127,8 +139,14 @@
 
 @on_loop
 async def test_sighup_moves_discovery_and_the_counter_and_a_bad_file_moves_nothing(tmp_path):
-    async with (StubHost() as host, StubHost() as late, StubCounter() as counter,
-                StubDiscovery() as discovery, StubCounter() as new_counter, StubDiscovery() as new_discovery):
+    async with (
+        StubHost() as host,
+        StubHost() as late,
+        StubCounter() as counter,
+        StubDiscovery() as discovery,
+        StubCounter() as new_counter,
+        StubDiscovery() as new_discovery,
+    ):
         discovery.servers, new_discovery.servers = [entry(host)], [entry(late, "h2")]
         config = tmp_path / "config.json"
         config.write_text(json.dumps(told([entry(host)], discovery.port, counter.port)))
@@ -166,15 +184,31 @@
     return json.dumps(tree)
 
 
-@pytest.mark.parametrize("text", [
-    "", " ", "null", "[]", "{}", changed()[:-9], changed(discovery=None), changed(counter=None),
-    changed(settings=None), changed(settings__services=None), changed(settings__services__0__deadline=None),
-    changed(settings__services__0__effect=None), changed(settings__plans__0__rate=None),
-    changed(settings__limits__max_attempts=None), changed(settings__specifics__counter_timeout=None),
-    *(changed(settings__limits__max_attempts=bad) for bad in (0, -1, "3", True, [3], float("nan"))),
-    *(changed(settings__services__0__deadline=bad) for bad in (0, -1, "soon", False, {}, float("inf"))),
-    changed(settings__services=[]), changed(settings__services__0__effect="odd"), changed(counter="nowhere"),
-])
+@pytest.mark.parametrize(
+    "text",
+    [
+        "",
+        " ",
+        "null",
+        "[]",
+        "{}",
+        changed()[:-9],
+        changed(discovery=None),
+        changed(counter=None),
+        changed(settings=None),
+        changed(settings__services=None),
+        changed(settings__services__0__deadline=None),
+        changed(settings__services__0__effect=None),
+        changed(settings__plans__0__rate=None),
+        changed(settings__limits__max_attempts=None),
+        changed(settings__specifics__counter_timeout=None),
+        *(changed(settings__limits__max_attempts=bad) for bad in (0, -1, "3", True, [3], float("nan"))),
+        *(changed(settings__services__0__deadline=bad) for bad in (0, -1, "soon", False, {}, float("inf"))),
+        changed(settings__services=[]),
+        changed(settings__services__0__effect="odd"),
+        changed(counter="nowhere"),
+    ],
+)
 def test_of_a_broken_file_nothing_is_taken(text, tmp_path):
     path = tmp_path / "config.json"
     path.write_text(changed())
@@ -190,8 +224,15 @@
     path.write_text(changed())
     last = read_config({"RELAY_CONFIG": str(path), "RELAY_NAME": "n7", "RELAY_DISCOVERY": "127.0.0.1:9"})
     extra = SETTINGS["services"][0] | {"name": "extra", "effect": "side_effect"}
-    path.write_text(changed(discovery="127.0.0.1:7", counter="127.0.0.1:8", listen="127.0.0.1:5",
-                            settings__limits__max_attempts=1, settings__services=[extra]))
+    path.write_text(
+        changed(
+            discovery="127.0.0.1:7",
+            counter="127.0.0.1:8",
+            listen="127.0.0.1:5",
+            settings__limits__max_attempts=1,
+            settings__services=[extra],
+        )
+    )
     fresh = reread_config(last, {"RELAY_CONFIG": str(path)})
     assert fresh.discovery[1] == 7 and fresh.counter[1] == 8 and fresh.name == "n7"
     assert fresh.listen == last.listen and fresh.settings.limits.max_attempts == 1
@@ -210,11 +251,17 @@
 
     async def start(self):
         """A process that is ready; where its second address is."""
-        env = {**os.environ, "RELAY_CONFIG": str(self.config), "RELAY_SOCKET_FD": str(self.sock.fileno()),
-               "RELAY_CONTROL": "127.0.0.1:0", "RELAY_LISTEN": f"127.0.0.1:{self.port}",
-               "TMPDIR": str(self.folder)}
-        program = await asyncio.create_subprocess_exec(*PROGRAM, cwd=ROOT, env=env, stderr=subprocess.PIPE,
-                                                       pass_fds=[self.sock.fileno()])
+        env = {
+            **os.environ,
+            "RELAY_CONFIG": str(self.config),
+            "RELAY_SOCKET_FD": str(self.sock.fileno()),
+            "RELAY_CONTROL": "127.0.0.1:0",
+            "RELAY_LISTEN": f"127.0.0.1:{self.port}",
+            "TMPDIR": str(self.folder),
+        }
+        program = await asyncio.create_subprocess_exec(
+            *PROGRAM, cwd=ROOT, env=env, stderr=subprocess.PIPE, pass_fds=[self.sock.fileno()]
+        )
         self.programs.append(program)
         second = 0
         while line := await program.stderr.readline():
@@ -337,9 +384,15 @@
 def test_a_descriptor_that_is_none_ends_the_start_in_one_line(fd, tmp_path):
     (tmp_path / "config.json").write_text(changed())
     env = {k: v for k, v in os.environ.items() if not k.startswith("RELAY_")}
-    ended = subprocess.run(PROGRAM, cwd=ROOT, env=env | {"RELAY_CONFIG": str(tmp_path / "config.json"),
-                                                         "RELAY_SOCKET_FD": fd, "TMPDIR": str(tmp_path)},
-                           capture_output=True, text=True, timeout=60)
+    ended = subprocess.run(
+        PROGRAM,
+        cwd=ROOT,
+        env=env
+        | {"RELAY_CONFIG": str(tmp_path / "config.json"), "RELAY_SOCKET_FD": fd, "TMPDIR": str(tmp_path)},
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
     assert ended.returncode == 2 and ended.stderr.count("\n") == 1
 
 
@@ -347,15 +400,23 @@
 def test_nothing_that_takes_long_is_imported_while_clients_wait(view, tmp_path):
     """With a second address and membership the loop was away for most of a start, the clients' listener
     open: requests that came were read past their time. What views need is there with that key only."""
-    code = ("import sys, calicomast.net.clients as clients; from calicomast.net.__main__ import main\n"
-            "async def listen(*_): print(*(f'calicomast.{m}' in sys.modules for m in "
-            "('net.control', 'membership.service', 'net.views', 'base.views'))); raise OSError('seen')\n"
-            "clients.ClientServer.listen = listen; main()")
+    code = (
+        "import sys, calicomast.net.clients as clients; from calicomast.net.__main__ import main\n"
+        "async def listen(*_): print(*(f'calicomast.{m}' in sys.modules for m in "
+        "('net.control', 'membership.service', 'net.views', 'base.views'))); raise OSError('seen')\n"
+        "clients.ClientServer.listen = listen; main()"
+    )
     tree = told([], 1, 2) | {
-        "control": "127.0.0.1:0", "membership": {"cluster": "c", "listen": "127.0.0.1:0"}}
+        "control": "127.0.0.1:0",
+        "membership": {"cluster": "c", "listen": "127.0.0.1:0"},
+    }
     tree |= {"view": {"size": 20}} if view else {}
     (tmp_path / "config.json").write_text(json.dumps(tree))
-    ended = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, timeout=60,
-                           env={**os.environ, "RELAY_CONFIG": str(tmp_path / "config.json"),
-                                "TMPDIR": str(tmp_path)})
+    ended = subprocess.run(
+        [sys.executable, "-c", code],
+        capture_output=True,
+        text=True,
+        timeout=60,
+        env={**os.environ, "RELAY_CONFIG": str(tmp_path / "config.json"), "TMPDIR": str(tmp_path)},
+    )
     assert ended.stdout == f"True True {view} {view}\n" and "seen" in ended.stderr
--- a/tests/test_net_readers.py
+++ b/tests/test_net_readers.py
@@ -43,9 +43,9 @@
     at = 0
 
     async def answer_to(self, got):
-        self.writers[-1].write(ENDS[:self.at])
+        self.writers[-1].write(ENDS[: self.at])
         await asyncio.sleep(0.01 if self.at else 0)
-        return ENDS[self.at:]
+        return ENDS[self.at :]
 
 
 @pytest.mark.parametrize("ask", [command(), write(cls=b"note")], ids=["read", "note"])
@@ -87,15 +87,18 @@
 
 def bytewise(stream):
     """The first bytes one by one."""
-    return [stream[at:at + 1] for at in range(300)] + [stream[300:]]
+    return [stream[at : at + 1] for at in range(300)] + [stream[300:]]
 
 
 def altered(stream, change):
     """With a byte more, less or another one."""
     kind, at, byte = change
     at %= len(stream) + 1
-    return stream[:at] + {"more": byte, "less": b"", "other": byte, "none": stream[at:at + 1]}[kind] + (
-        stream[at if kind == "more" else at + 1:])
+    return (
+        stream[:at]
+        + {"more": byte, "less": b"", "other": byte, "none": stream[at : at + 1]}[kind]
+        + (stream[at if kind == "more" else at + 1 :])
+    )
 
 
 BYTES = st.sampled_from([bytes([byte]) for byte in b"\r\n$*:+-?0123456789 ax_.e\x00\xff"])
@@ -133,7 +136,7 @@
 
     def value(self, place):
         end = self.stream.find(b"\r\n", self.at)
-        line = self.stream[self.at:end if end >= 0 else None]
+        line = self.stream[self.at : end if end >= 0 else None]
         if len(line) > resp.MOST_LINE + (end < 0):
             raise Bad
         if end < 0:
@@ -145,7 +148,7 @@
                 raise Bad
             return ("error", text.decode("utf-8", "replace")) if kind == b"-" else text
         if kind == b":":
-            return self.number(text, -2 ** 63, 2 ** 63 - 1)
+            return self.number(text, -(2**63), 2**63 - 1)
         if kind == b"$":
             large = place == self.large and not self.nested
             return self.string(self.number(text, -1, LARGE if large else MOST), large)
@@ -166,7 +169,10 @@
     def string(self, length, large):
         if length < 0:
             return None
-        text, end = self.stream[self.at:self.at + length], self.stream[self.at + length:self.at + length + 2]
+        text, end = (
+            self.stream[self.at : self.at + length],
+            self.stream[self.at + length : self.at + length + 2],
+        )
         passed = large and length > SMALL
         self.passed += text if passed else b""
         if not b"\r\n".startswith(end):
@@ -217,15 +223,31 @@
     return b"*%d\r\n" % len(parts) + b"".join(parts)
 
 
-STRINGS = st.one_of(st.none(), st.lists(BYTES, max_size=12).map(b"".join), st.sampled_from(
-    [b"", b"\r\n", b"$3\r\n", b"v" * 40, b"ab\r\n" * 150, b"\r\n" * 301, b"x" * 700, b"*1\r\n" * 200]))
+STRINGS = st.one_of(
+    st.none(),
+    st.lists(BYTES, max_size=12).map(b"".join),
+    st.sampled_from(
+        [b"", b"\r\n", b"$3\r\n", b"v" * 40, b"ab\r\n" * 150, b"\r\n" * 301, b"x" * 700, b"*1\r\n" * 200]
+    ),
+)
 LINES = st.sampled_from([b":0\r\n", b":-17\r\n", b"+OK\r\n", b"-BUSY 5\r\n", b"*-1\r\n", b"*0\r\n"])
 PARTS = st.one_of(STRINGS.map(bulk), STRINGS.map(bulk), LINES)
 ARRAYS = st.lists(st.one_of(PARTS, PARTS, st.lists(PARTS, max_size=3).map(array)), max_size=5).map(array)
 ANSWERS = st.tuples(STRINGS.map(bulk), PARTS, PARTS).map(array)
-ODDITIES = st.sampled_from([ENDS, b"PING\r\n", b"$04\r\nabcd\r\n", b"$-2\r\n", b":1 \r\n", b":1_0\r\n",
-                            b"$4\nabcd\n", b"*1\r\n*1\r\n*3\r\n$650\r\n", b"*3\r\n$+650\r\n",
-                            b"*3\r\n$0650\r\n"])
+ODDITIES = st.sampled_from(
+    [
+        ENDS,
+        b"PING\r\n",
+        b"$04\r\nabcd\r\n",
+        b"$-2\r\n",
+        b":1 \r\n",
+        b":1_0\r\n",
+        b"$4\nabcd\n",
+        b"*1\r\n*1\r\n*3\r\n$650\r\n",
+        b"*3\r\n$+650\r\n",
+        b"*3\r\n$0650\r\n",
+    ]
+)
 STREAMS = st.lists(st.one_of(ANSWERS, ANSWERS, ARRAYS, LINES, ODDITIES), min_size=1, max_size=4).map(b"".join)
 
 
@@ -246,15 +268,20 @@
     values, _, _ = read_pieces([altered(stream, change)], (0, -1))
     for value in values:
         attempt = Attempt("h", b"", lambda _: None)
-        sound = (isinstance(value, list) and len(value) == 3 and isinstance(value[0], bytes)
-                 and not isinstance(value[1], hiredis.ReplyError)
-                 and not isinstance(value[2], hiredis.ReplyError | list))
+        sound = (
+            isinstance(value, list)
+            and len(value) == 3
+            and isinstance(value[0], bytes)
+            and not isinstance(value[1], hiredis.ReplyError)
+            and not isinstance(value[2], hiredis.ReplyError | list)
+        )
         assert (read_reply(attempt, value) == "ok") == sound
         assert attempt.value == (value[0] if sound else b"")
 
 
 # What stands in commands and answers
 
+
 def slow_number(text):
     """A number without sign; None where it is none."""
     return None if text[:1] in ("+", "-") or not text.isascii() else slow_total(text.encode())
@@ -276,7 +303,7 @@
         return None
     left, units = slow_count(fields.get("d", "")), slow_number(fields.get("units", ""))
     first, spread = slow_count(fields.get("first", "")), slow_count(fields.get("spread", ""))
-    if None in (left, units, first, spread) or int(customer, 16) >= 2 ** 33 or left > 3_600_000:
+    if None in (left, units, first, spread) or int(customer, 16) >= 2**33 or left > 3_600_000:
         return None
     if fields.get("c") not in ("read", "write", "note") or fields.get("t") not in ("p", "small"):
         return None
@@ -288,27 +315,69 @@
 
 
 SET = read_settings(SETTINGS)
-NUMBERS = st.sampled_from(["0", "1", "1", "1", "2", "480", "1_0", " 1", "1 ", "+1", "-1", "1.0", "1e0",
-                           "1e-3", ".5", "5.", "nan", "inf", "1e999", "0x1", "\u0663", "", "007", "3600001"])
+NUMBERS = st.sampled_from(
+    [
+        "0",
+        "1",
+        "1",
+        "1",
+        "2",
+        "480",
+        "1_0",
+        " 1",
+        "1 ",
+        "+1",
+        "-1",
+        "1.0",
+        "1e0",
+        "1e-3",
+        ".5",
+        "5.",
+        "nan",
+        "inf",
+        "1e999",
+        "0x1",
+        "\u0663",
+        "",
+        "007",
+        "3600001",
+    ]
+)
 PAIRS = st.one_of(
     st.tuples(st.sampled_from(["d", "units", "spread", "first"]), NUMBERS),
     st.tuples(st.just("c"), st.sampled_from(["read", "write", "note", "odd", ""])),
     st.tuples(st.just("t"), st.sampled_from(["p", "small", "odd"])),
-    st.tuples(st.sampled_from(["k", "r", "x", ""]), st.sampled_from(["1", "77", "", "a=b"])))
-CUSTOMERS = st.sampled_from(["00000000b4d65521"] * 8 + [
-    "00000001ffffffff", "0000000200000000", "0x0000000b4d6552", "0000_0000b4d6552", " 0000000b4d65521",
-    "+0000000b4d65521", "00000000B4D65521", "0000000b4d65521", "00000000b4d6552g"])
+    st.tuples(st.sampled_from(["k", "r", "x", ""]), st.sampled_from(["1", "77", "", "a=b"])),
+)
+CUSTOMERS = st.sampled_from(
+    ["00000000b4d65521"] * 8
+    + [
+        "00000001ffffffff",
+        "0000000200000000",
+        "0x0000000b4d6552",
+        "0000_0000b4d6552",
+        " 0000000b4d65521",
+        "+0000000b4d65521",
+        "00000000B4D65521",
+        "0000000b4d65521",
+        "00000000b4d6552g",
+    ]
+)
 START = [("c", "read"), ("t", "p"), ("d", "480"), ("units", "1"), ("spread", "1"), ("first", "0")]
 
 
-@given(CUSTOMERS, st.sampled_from(["API.READ", "API.WRITE"]), st.lists(PAIRS, max_size=3), st.booleans(),
-       CHANGES)
+@given(
+    CUSTOMERS, st.sampled_from(["API.READ", "API.WRITE"]), st.lists(PAIRS, max_size=3), st.booleans(), CHANGES
+)
 @seeded
 def test_a_command_is_read_as_a_slow_reader_does(customer, verb, pairs, added, change):
     """Nothing stands twice, and a number is what a client may write for one: hosts get it as it came."""
     named = dict(pairs)
-    listed = [*START, *pairs] if added else [*((name, named.pop(name, value)) for name, value in START),
-                                             *named.items()]
+    listed = (
+        [*START, *pairs]
+        if added
+        else [*((name, named.pop(name, value)) for name, value in START), *named.items()]
+    )
     text = altered(",".join(f"{name}={value}" for name, value in listed).encode(), change)
     try:
         slow = slow_request(customer, "r1", verb, text.decode())
@@ -320,8 +389,15 @@
     except BadRequest:
         assert slow is None
         return
-    assert slow == (read.cls, read.plan, round(1000 * (read.left + WAY_BACK)), read.units, read.first,
-                    read.spread, read.repeat)
+    assert slow == (
+        read.cls,
+        read.plan,
+        round(1000 * (read.left + WAY_BACK)),
+        read.units,
+        read.first,
+        read.spread,
+        read.repeat,
+    )
 
 
 NAMES = {"active": "inflight", "waiting": "queue", "cpu": "util", "avg_ms": "latency"}
@@ -352,12 +428,13 @@
 
 # The counter
 
+
 def slow_total(text):
     """The number of a total, as a person would read it; None where it is none."""
     mantissa, *exponent = text.replace(b"E", b"e").split(b"e")
-    whole, *fraction = mantissa[mantissa[:1] in (b"+", b"-"):].split(b".")
+    whole, *fraction = mantissa[mantissa[:1] in (b"+", b"-") :].split(b".")
     digits = whole + b"".join(fraction)
-    power = exponent[0][exponent[0][:1] in (b"+", b"-"):] if exponent else b"0"
+    power = exponent[0][exponent[0][:1] in (b"+", b"-") :] if exponent else b"0"
     if len(exponent) > 1 or len(fraction) > 1 or not digits or not power:
         return None
     total = float(text) if set(digits + power) <= DIGITS else math.inf
@@ -368,7 +445,7 @@
     """What the calls are told by a stream, and whether it is spoilt."""
     told = []
     while (end := stream.find(b"\n")) >= 0:
-        line, stream = stream[:end], stream[end + 1:]
+        line, stream = stream[:end], stream[end + 1 :]
         text = line.removesuffix(b"\r")
         if len(line) > MOST_LINE or text == line or not calls:
             return told, True
@@ -406,15 +483,58 @@
 
 
 TOTALS = st.one_of(
-    st.floats(-1e9, 1e9).map(lambda total: b"%.7g" % total), st.sampled_from(
-        [b"1e5", b"1e+09", b"-2.5", b"007", b".5", b"5.", b"nan", b"inf", b"-Infinity", b"1_0", b"1e999",
-         b"0x1", b"1 0", b" 1", b"1 ", b"\t1", b"", b"--1", b"{}", b"1e", b"e5", b".", b"1.2.3",
-         b"\xd9\xa3"]))
-SAID = st.one_of(TOTALS.map(lambda total: b"ok " + total), st.sampled_from(
-    [b"busy", b"error", b"error no such call", b"pong", b"ok", b"OK 1", b"busy 5", b"", b"okay 1",
-     b"ok 1\r", b"ok 1\x0b", b"ok " + b"0" * 5000 + b"1"]))
-TALK = st.lists(st.tuples(SAID, st.sampled_from([b"\r\n"] * 9 + [b"\n"])).map(b"".join),
-                max_size=4).map(b"".join)
+    st.floats(-1e9, 1e9).map(lambda total: b"%.7g" % total),
+    st.sampled_from(
+        [
+            b"1e5",
+            b"1e+09",
+            b"-2.5",
+            b"007",
+            b".5",
+            b"5.",
+            b"nan",
+            b"inf",
+            b"-Infinity",
+            b"1_0",
+            b"1e999",
+            b"0x1",
+            b"1 0",
+            b" 1",
+            b"1 ",
+            b"\t1",
+            b"",
+            b"--1",
+            b"{}",
+            b"1e",
+            b"e5",
+            b".",
+            b"1.2.3",
+            b"\xd9\xa3",
+        ]
+    ),
+)
+SAID = st.one_of(
+    TOTALS.map(lambda total: b"ok " + total),
+    st.sampled_from(
+        [
+            b"busy",
+            b"error",
+            b"error no such call",
+            b"pong",
+            b"ok",
+            b"OK 1",
+            b"busy 5",
+            b"",
+            b"okay 1",
+            b"ok 1\r",
+            b"ok 1\x0b",
+            b"ok " + b"0" * 5000 + b"1",
+        ]
+    ),
+)
+TALK = st.lists(st.tuples(SAID, st.sampled_from([b"\r\n"] * 9 + [b"\n"])).map(b"".join), max_size=4).map(
+    b"".join
+)
 
 
 @given(TALK, CHANGES, CUTS, st.lists(st.sampled_from([-1, 1, 2, 3, 4, 5]), max_size=5))
@@ -427,6 +547,7 @@
 
 # Discovery
 
+
 def slow_chunks(body):
     """A chunked body that is whole; None where it is not."""
     found = b""
@@ -440,9 +561,9 @@
         length = int(size, 16)
         if not length:
             return found if rest.startswith((b"\r\n", b"\n")) else None  # as HTTP lets a reader take that
-        if rest[length:length + 2] != b"\r\n":
+        if rest[length : length + 2] != b"\r\n":
             return None
-        found, body = found + rest[:length], rest[length + 2:]
+        found, body = found + rest[:length], rest[length + 2 :]
 
 
 class Said:
@@ -470,8 +591,9 @@
         return None
 
 
-BODIES = st.lists(st.sampled_from([b'{"version":', b"1}", b"\r\n", b"0\r\n\r\n", b"5", b"x" * 30]),
-                  max_size=4)
+BODIES = st.lists(
+    st.sampled_from([b'{"version":', b"1}", b"\r\n", b"0\r\n\r\n", b"5", b"x" * 30]), max_size=4
+)
 
 
 @given(BODIES, CHANGES, CUTS, st.booleans(), st.integers(0, 40))
@@ -480,13 +602,13 @@
     if chunked:
         whole = b"".join(b"%x\r\n%s\r\n" % (len(part), part) for part in parts) + b"0\r\n\r\n"
         head, body = b"Transfer-Encoding: chunked", altered(whole, change)
-        body = body[:len(body) - short] if short < 10 else body
+        body = body[: len(body) - short] if short < 10 else body
         expected = slow_chunks(body)
     else:
         whole = b"".join(parts)
         head, body = b"Content-Length: %d" % len(whole), altered(whole, change)
-        body = body[:max(0, len(body) - short)] if short < 10 else body
-        expected = body[:len(whole)] if len(body) >= len(whole) else None
+        body = body[: max(0, len(body) - short)] if short < 10 else body
+        expected = body[: len(whole)] if len(body) >= len(whole) else None
     stream = b"HTTP/1.1 200 OK\r\n" + head + b"\r\n\r\n" + body
     for pieces in ([stream], pieces_of(stream, cuts), bytewise(stream)):
         got = fetch(pieces)
@@ -495,6 +617,7 @@
 
 async def serve(told, calls):
     """A server that answers the first call with one text and later ones with another."""
+
     async def answer(reader, writer):
         calls.append(writer)
         first = told[0] if len(calls) == 1 else told[1]
@@ -534,20 +657,67 @@
     server.close()
 
 
-ODD = st.sampled_from([None, True, False, 0, -1, 3, 3.5, 2.0, 1e308, math.inf, -math.inf, math.nan, 10 ** 400,
-                       "", "x", "7", "up", "removed", [], {}, [1], {"id": "h"}, "10.0.0.1:6379",
-                       "10.0.0.1:66666", "[::1]:6379", "h:\u0663"])
+ODD = st.sampled_from(
+    [
+        None,
+        True,
+        False,
+        0,
+        -1,
+        3,
+        3.5,
+        2.0,
+        1e308,
+        math.inf,
+        -math.inf,
+        math.nan,
+        10**400,
+        "",
+        "x",
+        "7",
+        "up",
+        "removed",
+        [],
+        {},
+        [1],
+        {"id": "h"},
+        "10.0.0.1:6379",
+        "10.0.0.1:66666",
+        "[::1]:6379",
+        "h:\u0663",
+    ]
+)
 FIELDS = ["id", "addr", "zone", "kind", "cell", "state", "weight", "started_ms"]
 ENTRIES = st.builds(
-    lambda name, state, odd: {"id": name, "addr": "10.1.0.18:6379", "zone": "a", "kind": "m2", "cell": 3,
-                              "state": state, "weight": 1.0, "started_ms": 0} | odd,
-    st.sampled_from(["a", "b", "c"]), st.sampled_from(["up", "draining", "removed"]),
-    st.one_of(st.just({}), st.just({}), st.dictionaries(st.sampled_from(FIELDS), ODD, max_size=2)))
+    lambda name, state, odd: (
+        {
+            "id": name,
+            "addr": "10.1.0.18:6379",
+            "zone": "a",
+            "kind": "m2",
+            "cell": 3,
+            "state": state,
+            "weight": 1.0,
+            "started_ms": 0,
+        }
+        | odd
+    ),
+    st.sampled_from(["a", "b", "c"]),
+    st.sampled_from(["up", "draining", "removed"]),
+    st.one_of(st.just({}), st.just({}), st.dictionaries(st.sampled_from(FIELDS), ODD, max_size=2)),
+)
 LISTS = st.builds(
     lambda version, full, servers, odd: {"version": version, "full": full, "servers": servers} | odd,
-    st.integers(0, 99), st.booleans(), st.lists(st.one_of(ENTRIES, ENTRIES, ENTRIES, ODD), max_size=4),
-    st.one_of(st.just({}), st.just({}), st.just({}), st.dictionaries(
-        st.sampled_from(["version", "full", "servers", "epoch"]), ODD, max_size=1)))
+    st.integers(0, 99),
+    st.booleans(),
+    st.lists(st.one_of(ENTRIES, ENTRIES, ENTRIES, ODD), max_size=4),
+    st.one_of(
+        st.just({}),
+        st.just({}),
+        st.just({}),
+        st.dictionaries(st.sampled_from(["version", "full", "servers", "epoch"]), ODD, max_size=1),
+    ),
+)
 
 
 def number(value):
@@ -564,11 +734,18 @@
 
 
 def sound_entry(entry):
-    return (isinstance(entry, dict) and isinstance(entry.get("id"), str) and entry["id"] != ""
-            and isinstance(entry.get("zone", ""), str) and isinstance(entry.get("kind", ""), str)
-            and entry.get("state") in ("up", "draining", "removed") and whole(entry.get("cell", 0))
-            and number(entry.get("weight", 1.0)) and sound_place(entry.get("addr"))
-            and (entry.get("started_ms") is None or number(entry["started_ms"])))
+    return (
+        isinstance(entry, dict)
+        and isinstance(entry.get("id"), str)
+        and entry["id"] != ""
+        and isinstance(entry.get("zone", ""), str)
+        and isinstance(entry.get("kind", ""), str)
+        and entry.get("state") in ("up", "draining", "removed")
+        and whole(entry.get("cell", 0))
+        and number(entry.get("weight", 1.0))
+        and sound_place(entry.get("addr"))
+        and (entry.get("started_ms") is None or number(entry["started_ms"]))
+    )
 
 
 def slow_list(told):
@@ -591,8 +768,10 @@
     except ValueError:
         return None
     words = {"up": "up", "leaving": "draining", "down": "removed"}
-    places = {id: f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
-              for id, (host, port) in read.addresses.items()}
+    places = {
+        id: f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
+        for id, (host, port) in read.addresses.items()
+    }
     hosts = read.hosts.hosts
     assert len({host.id for host in hosts}) == len(hosts)
     assert all(math.isfinite(host.weight) and math.isfinite(host.started) for host in hosts)
@@ -607,6 +786,7 @@
 
 # Files that the processes of a gateway share, candidates, and datagrams
 
+
 def taken(read, *args):
     """What a reader makes of it; None where it says that it is none."""
     try:
@@ -616,15 +796,30 @@
 
 
 def slow_ban(entry):
-    return isinstance(entry, dict) and type(entry.get("out")) is bool and (
-        type(entry.get("at")) in (int, float) and abs(entry["at"]) <= sys.float_info.max)
-
-
-@given(st.dictionaries(st.sampled_from(["h1", "h2", ""]), st.one_of(ODD, st.builds(
-    lambda out, at, odd: {"out": out, "at": at} | odd, st.booleans(), st.floats(0, 2e9),
-    st.one_of(st.just({}), st.dictionaries(st.sampled_from(["out", "at", "x"]), ODD, max_size=1)))),
-    max_size=2) | ODD)
-@example({"h1": {"out": True, "at": 10 ** 400}})
+    return (
+        isinstance(entry, dict)
+        and type(entry.get("out")) is bool
+        and (type(entry.get("at")) in (int, float) and abs(entry["at"]) <= sys.float_info.max)
+    )
+
+
+@given(
+    st.dictionaries(
+        st.sampled_from(["h1", "h2", ""]),
+        st.one_of(
+            ODD,
+            st.builds(
+                lambda out, at, odd: {"out": out, "at": at} | odd,
+                st.booleans(),
+                st.floats(0, 2e9),
+                st.one_of(st.just({}), st.dictionaries(st.sampled_from(["out", "at", "x"]), ODD, max_size=1)),
+            ),
+        ),
+        max_size=2,
+    )
+    | ODD
+)
+@example({"h1": {"out": True, "at": 10**400}})
 @seeded
 def test_bans_are_read_as_a_slow_reader_does(told):
     sound = isinstance(told, dict) and all(map(slow_ban, told.values()))
@@ -660,16 +855,23 @@
             return None
         if {type(waits[name]) for name in ("number", "back")} != {int} or waits["number"] != numbers[-1]:
             return None
-        if waits["back"] not in numbers or type(waits["until"]) not in (int, float) or (
-                abs(waits["until"]) > sys.float_info.max):
+        if (
+            waits["back"] not in numbers
+            or type(waits["until"]) not in (int, float)
+            or (abs(waits["until"]) > sys.float_info.max)
+        ):
             return None
     return numbers, told[1] and told[1]["until"]
 
 
-@given(st.integers(1, 3), st.booleans(),
-       st.lists(st.tuples(st.integers(0, 2), st.integers(0, 5), ODD), max_size=1),
-       st.lists(st.tuples(st.sampled_from(["number", "back", "until", "x"]), ODD), max_size=1), CHANGES,
-       st.booleans())
+@given(
+    st.integers(1, 3),
+    st.booleans(),
+    st.lists(st.tuples(st.integers(0, 2), st.integers(0, 5), ODD), max_size=1),
+    st.lists(st.tuples(st.sampled_from(["number", "back", "until", "x"]), ODD), max_size=1),
+    CHANGES,
+    st.booleans(),
+)
 @seeded
 def test_a_history_is_read_as_a_slow_reader_does(count, waits, odd, odd_waits, change, written):
     history = changes.History("f", (changes.version(1, 5.0, "start", {"a": 1}),))
@@ -695,9 +897,12 @@
     assert slow == (read and ([v.number for v in read.versions], read.pending and read.pending.until))
 
 
-@given(st.sampled_from(["limits", "settings", "discovery", "counter"]), ODD,
-       st.sampled_from(["", "cores", "memory_mb", "sockets"]))
-@example("limits", 10 ** 400, "cores")
+@given(
+    st.sampled_from(["limits", "settings", "discovery", "counter"]),
+    ODD,
+    st.sampled_from(["", "cores", "memory_mb", "sockets"]),
+)
+@example("limits", 10**400, "cores")
 @example("limits", True, "cores")
 @example("discovery", "h:\u0663", "")
 @seeded
@@ -710,8 +915,7 @@
         tree[name] = odd
     parsed, faults = keys.parse(json.dumps(tree).encode())
     faults = faults or keys.check(parsed, base)
-    sound = inner and name == "limits" and number(odd) and odd > 0 and (
-        inner != "sockets" or odd == int(odd))
+    sound = inner and name == "limits" and number(odd) and odd > 0 and (inner != "sockets" or odd == int(odd))
     assert faults or sound or odd in ("10.0.0.1:6379", "[::1]:6379")
 
 
@@ -720,30 +924,54 @@
         return False
     name, host, port, incarnation, state, meta = row[:6]
     accusers = row[6] if len(row) > 6 else []
-    return (isinstance(name, str) and 0 < len(name) <= 128 and isinstance(host, str) and type(port) is int
-            and 0 < port < 65536 and type(incarnation) is int and 0 <= incarnation < 2 ** 62
-            and type(state) is int and 0 <= state <= 3 and isinstance(meta, dict)
-            and isinstance(accusers, list)
-            and len(accusers) <= 4 and all(isinstance(a, str) and len(a) <= 128 for a in accusers))
+    return (
+        isinstance(name, str)
+        and 0 < len(name) <= 128
+        and isinstance(host, str)
+        and type(port) is int
+        and 0 < port < 65536
+        and type(incarnation) is int
+        and 0 <= incarnation < 2**62
+        and type(state) is int
+        and 0 <= state <= 3
+        and isinstance(meta, dict)
+        and isinstance(accusers, list)
+        and len(accusers) <= 4
+        and all(isinstance(a, str) and len(a) <= 128 for a in accusers)
+    )
 
 
 def slow_datagram(told):
     if not isinstance(told, dict) or told.get("c") != "c" or type(told.get("s")) is not int:
         return False
     place = told.get("a", ["h", 1])
-    return (told.get("k") in ("ping", "ack", "ask", "sync", "more") and isinstance(told.get("f"), str)
-            and isinstance(place, list) and len(place) == 2 and isinstance(place[0], str)
-            and type(place[1]) is int and 0 < place[1] < 65536
-            and isinstance(told.get("r"), list) and all(map(slow_word, told["r"])))
-
-
-ROWS = st.builds(lambda odd: [odd.get(n, part) for n, part in enumerate(["m1", "h", 7, 3, 0, {}, ["m2"]])],
-                 st.one_of(st.just({}), st.dictionaries(st.integers(0, 6), ODD, max_size=1)))
-
-
-@given(st.builds(lambda rows, odd: {"c": "c", "k": "ping", "s": 1, "f": "m1", "r": rows} | odd,
-                 st.lists(ROWS | ODD, max_size=2),
-                 st.one_of(st.just({}), st.dictionaries(st.sampled_from("cksfra"), ODD, max_size=1))) | ODD)
+    return (
+        told.get("k") in ("ping", "ack", "ask", "sync", "more")
+        and isinstance(told.get("f"), str)
+        and isinstance(place, list)
+        and len(place) == 2
+        and isinstance(place[0], str)
+        and type(place[1]) is int
+        and 0 < place[1] < 65536
+        and isinstance(told.get("r"), list)
+        and all(map(slow_word, told["r"]))
+    )
+
+
+ROWS = st.builds(
+    lambda odd: [odd.get(n, part) for n, part in enumerate(["m1", "h", 7, 3, 0, {}, ["m2"]])],
+    st.one_of(st.just({}), st.dictionaries(st.integers(0, 6), ODD, max_size=1)),
+)
+
+
+@given(
+    st.builds(
+        lambda rows, odd: {"c": "c", "k": "ping", "s": 1, "f": "m1", "r": rows} | odd,
+        st.lists(ROWS | ODD, max_size=2),
+        st.one_of(st.just({}), st.dictionaries(st.sampled_from("cksfra"), ODD, max_size=1)),
+    )
+    | ODD
+)
 @seeded
 def test_datagrams_are_read_as_a_slow_reader_does(told):
     data = json.dumps(told).encode()
--- a/tests/test_net_replicas.py
+++ b/tests/test_net_replicas.py
@@ -19,8 +19,10 @@
 
 def using(one, *others, keep=False):
     """The keys of a gateway whose discovery these are."""
-    return ASK | {"discovery": f"127.0.0.1:{one}",
-                  "replicas": {"others": [f"127.0.0.1:{port}" for port in others], "keep": keep}}
+    return ASK | {
+        "discovery": f"127.0.0.1:{one}",
+        "replicas": {"others": [f"127.0.0.1:{port}" for port in others], "keep": keep},
+    }
 
 
 def pools(node):
@@ -110,8 +112,20 @@
                 assert (await node.call("GET /status"))[1]["list"]["age"] < 100
 
 
-@pytest.mark.parametrize("text", ["", "{", "[]", "null", "{}", "\x00\xff", "[" * 5000, '{"at": 1}',
-                                  '{"at": "x", "version": 1, "full": true, "servers": []}'])
+@pytest.mark.parametrize(
+    "text",
+    [
+        "",
+        "{",
+        "[]",
+        "null",
+        "{}",
+        "\x00\xff",
+        "[" * 5000,
+        '{"at": 1}',
+        '{"at": "x", "version": 1, "full": true, "servers": []}',
+    ],
+)
 @on_loop
 async def test_a_torn_or_foreign_list_is_passed_over(text, tmp_path, caplog):
     (tmp_path / "n0-list.json").write_text(text, encoding="latin-1")
@@ -139,8 +153,14 @@
 
 
 def listing(version, *names, full=False, epoch="e1"):
-    return read_list({"version": version, "full": full, "epoch": epoch,
-                      "servers": [entry(None, name, port=9) for name in names]})
+    return read_list(
+        {
+            "version": version,
+            "full": full,
+            "epoch": epoch,
+            "servers": [entry(None, name, port=9) for name in names],
+        }
+    )
 
 
 def test_versions_within_an_epoch_and_changes_across_epochs():
@@ -157,9 +177,18 @@
     assert [t.hosts.version for t in heard] == [5, 6, 2] and list(client.list) == ["c"]
 
 
-@pytest.mark.parametrize("bad", [
-    {}, {"id": "x"}, 5, None, {"id": "x", "state": "odd"}, {"id": "x", "state": "up", "addr": "nowhere"},
-    {"id": "x", "state": "up", "weight": "heavy"}])
+@pytest.mark.parametrize(
+    "bad",
+    [
+        {},
+        {"id": "x"},
+        5,
+        None,
+        {"id": "x", "state": "odd"},
+        {"id": "x", "state": "up", "addr": "nowhere"},
+        {"id": "x", "state": "up", "weight": "heavy"},
+    ],
+)
 def test_an_entry_that_cannot_be_read_costs_that_entry(bad, caplog):
     read = read_list({"version": 1, "full": True, "servers": [entry(None, "a", port=9), bad]})
     assert [h.id for h in read.hosts.hosts] == ["a"] and "1 of 2 entries" in caplog.text
@@ -171,8 +200,9 @@
 def test_malformed_replicas_end_the_start_in_one_line(odd, tmp_path):
     (tmp_path / "config.json").write_text(json.dumps(told([], 1, 2) | {"replicas": odd}))
     env = {**os.environ, "RELAY_CONFIG": str(tmp_path / "config.json")}
-    ended = subprocess.run([sys.executable, "-m", "calicomast.net"], env=env, capture_output=True, text=True,
-                           timeout=60)
+    ended = subprocess.run(
+        [sys.executable, "-m", "calicomast.net"], env=env, capture_output=True, text=True, timeout=60
+    )
     assert ended.returncode == 2 and ended.stderr.count("\n") == 1
 
 
@@ -180,7 +210,9 @@
 async def test_without_the_key_nothing_of_it_is_there(tmp_path):
     async with StubHost() as host, Node(host, path=tmp_path) as node:
         assert type(node.node.discovery) is discovery.Discovery
-        code = ("import sys, calicomast.net.__main__; "
-                "sys.exit('calicomast.net.replicas' in sys.modules or 'calicomast.registry' in sys.modules)")
+        code = (
+            "import sys, calicomast.net.__main__; "
+            "sys.exit('calicomast.net.replicas' in sys.modules or 'calicomast.registry' in sys.modules)"
+        )
         ended = await asyncio.to_thread(subprocess.run, [sys.executable, "-c", code], timeout=60)
         assert ended.returncode == 0 and not list(tmp_path.glob("*-list.json"))
--- a/tests/test_net_storms.py
+++ b/tests/test_net_storms.py
@@ -46,7 +46,7 @@
 
 
 async def reset_with_work_out(reader, writer):
-    writer.write(command(b"w%d" % id(writer), customer=b"%016x" % (id(writer) % 2 ** 33)))
+    writer.write(command(b"w%d" % id(writer), customer=b"%016x" % (id(writer) % 2**33)))
     await asyncio.sleep(0.02)
     reset(writer)
 
@@ -64,8 +64,15 @@
     reset(writer)
 
 
-BAD = (drip, come_and_go, reset_at_once, reset_in_a_command, reset_with_work_out, reset_with_commands_waiting,
-       never_reads)
+BAD = (
+    drip,
+    come_and_go,
+    reset_at_once,
+    reset_in_a_command,
+    reset_with_work_out,
+    reset_with_commands_waiting,
+    never_reads,
+)
 
 
 @pytest.mark.parametrize("more", [{"edge": {"connects": 4, "new_per_source": 1e5}}, None])
--- a/tests/test_net_turned_away.py
+++ b/tests/test_net_turned_away.py
@@ -8,8 +8,12 @@
 
 SPAN, LEAST = 4.0, 15  # s, requests
 CALM = dict(load=0.9, hosts=24)  # the burst of half as much again on 0.6
-ROLL = dict(load=0.6, hosts=24, cold=tuple((3.0 + n, 2) for n in range(6)),
-            restarts=tuple((3.2 + n / 2, 3) for n in range(10)))
+ROLL = dict(
+    load=0.6,
+    hosts=24,
+    cold=tuple((3.0 + n, 2) for n in range(6)),
+    restarts=tuple((3.2 + n / 2, 3) for n in range(10)),
+)
 
 
 class Counted(Play):
--- a/tests/test_net_turns.py
+++ b/tests/test_net_turns.py
@@ -110,7 +110,7 @@
         # A turn of the lightest is QUANTUM / 2 of cost, so a dear command is some turns of it.
         assert max(shares) - min(shares) <= 2 * QUANTUM + 2 * (DEAREST + LOT) / min(weights), "unfair"
     for member in deep + light:
-        assert member.taken == asked[member][:len(member.taken)], "out of order"
+        assert member.taken == asked[member][: len(member.taken)], "out of order"
     assert all(member.spent > 0 for member in deep)
     return turns
 
@@ -142,14 +142,17 @@
     assert (deep.spent < 100 * LOT / 11 / 2) == passed_over
 
 
-@pytest.mark.parametrize("told, price", [([b"PING"], 1.0), ([b"x" * 1024, b"y" * 1024], 3.0), (7, 1.0),
-                                         ([bytearray(4 << 20)], 65.0)])
+@pytest.mark.parametrize(
+    "told, price",
+    [([b"PING"], 1.0), ([b"x" * 1024, b"y" * 1024], 3.0), (7, 1.0), ([bytearray(4 << 20)], 65.0)],
+)
 def test_a_command_costs_by_its_bytes_too(told, price):
     assert round(cost(told), 1) == price
 
 
-@pytest.mark.parametrize("address, weight", [("10.2.0.9", 4.0), ("10.3.0.1", 0.5), ("192.0.2.1", 1.0),
-                                             ("fe80::1%eth0", 1.0)])
+@pytest.mark.parametrize(
+    "address, weight", [("10.2.0.9", 4.0), ("10.3.0.1", 0.5), ("192.0.2.1", 1.0), ("fe80::1%eth0", 1.0)]
+)
 def test_a_source_has_the_weight_of_the_first_network_that_fits(address, weight):
     edge = admission.read_edge({"weights": {"10.2.0.0/16": 4, "10.0.0.0/8": 0.5}})
     assert admission.Gate(edge, 0.0).weight(address) == weight
--- a/tests/test_net_views.py
+++ b/tests/test_net_views.py
@@ -21,9 +21,20 @@
 
 
 def hosts(count, port=1, zones="abc", kinds=1, **kw):
-    return [{"id": f"s-{n}", "addr": f"127.0.0.1:{port}", "zone": zones[n % len(zones)],
-             "kind": f"k{n // len(zones) % kinds}", "cell": 0, "state": "up", "weight": 1.0,
-             "started_ms": 0} | kw for n in range(count)]
+    return [
+        {
+            "id": f"s-{n}",
+            "addr": f"127.0.0.1:{port}",
+            "zone": zones[n % len(zones)],
+            "kind": f"k{n // len(zones) % kinds}",
+            "cell": 0,
+            "state": "up",
+            "weight": 1.0,
+            "started_ms": 0,
+        }
+        | kw
+        for n in range(count)
+    ]
 
 
 def viewed(servers, size, kinds=(), index=0, zone="a"):
@@ -76,8 +87,10 @@
 @pytest.mark.parametrize("kinds", [[], ["k0", "k3"]])
 @on_loop
 async def test_of_a_whole_list_the_module_is_told_the_view_and_what_changes_in_it(kinds, tmp_path):
-    async with Lists(hosts(300, kinds=5)) as lists, \
-            Node(path=tmp_path, more=using(lists, size=20, kinds=kinds)) as node:
+    async with (
+        Lists(hosts(300, kinds=5)) as lists,
+        Node(path=tmp_path, more=using(lists, size=20, kinds=kinds)) as node,
+    ):
         await lists.watched()
         own = viewed(lists.servers, 20, kinds)
         groups = kinds or [f"k{n}" for n in range(5)]
@@ -104,8 +117,11 @@
 
 @on_loop
 async def test_a_host_that_moves_out_of_the_view_answers_what_it_has(tmp_path):
-    async with StubHost(None) as host, Lists(hosts(40, host.port)) as lists, \
-            Node(path=tmp_path, more=using(lists, size=1)) as node:
+    async with (
+        StubHost(None) as host,
+        Lists(hosts(40, host.port)) as lists,
+        Node(path=tmp_path, more=using(lists, size=1)) as node,
+    ):
         await lists.watched()
         first = pools(node)
         asked = asyncio.create_task(node.ask(command()))
@@ -122,8 +138,11 @@
 @on_loop
 async def test_a_view_that_empties_and_fills_again(tmp_path):
     """All hosts go but one zone's, then those too; then they come back."""
-    async with StubHost() as host, Lists(hosts(60, host.port)) as lists, \
-            Node(path=tmp_path, more=using(lists, size=12)) as node:
+    async with (
+        StubHost() as host,
+        Lists(hosts(60, host.port)) as lists,
+        Node(path=tmp_path, more=using(lists, size=12)) as node,
+    ):
         await lists.watched()
         every, own = list(lists.servers), pools(node)
         assert sum(entry["zone"] == "a" for entry in lists.named(*own)) == 6  # half in its own zone
@@ -169,16 +188,18 @@
 
 
 @on_loop
-async def test_of_a_whole_list_entries_that_cannot_be_read_are_missing_and_of_changes_all_are(tmp_path,
-                                                                                              caplog):
+async def test_of_a_whole_list_entries_that_cannot_be_read_are_missing_and_of_changes_all_are(
+    tmp_path, caplog
+):
     servers = hosts(90)
     odd = [entry if n % 3 else spoil(entry) for n, entry in enumerate(servers)]
     async with Lists(odd) as lists, Node(path=tmp_path, more=using(lists, size=12)) as node:
         await lists.watched()
         good = [entry for entry in odd if "state" in entry]
         assert pools(node) == viewed(good, 12) and "30 of 90 entries cannot be read" in caplog.text
-        lists.raw = json.dumps({"version": 2, "full": False, "servers": [
-            good[0] | {"state": "draining"}, spoil(good[1])]})
+        lists.raw = json.dumps(
+            {"version": 2, "full": False, "servers": [good[0] | {"state": "draining"}, spoil(good[1])]}
+        )
         lists.version, lists.servers = 2, servers
         lists.change([])
         while "index" in await lists.call():
@@ -186,10 +207,16 @@
         await until(lambda: pools(node) == viewed(servers, 12))
 
 
-@pytest.mark.parametrize("raw", [
-    "{", "[]", '{"version":2,"full":true,"servers":[{"id":"h9"}]}',
-    '{"version":"x","full":true,"servers":[]}',
-    '{"version":2,"full":true,"servers":[' + json.dumps(hosts(1)[0]) + ","])
+@pytest.mark.parametrize(
+    "raw",
+    [
+        "{",
+        "[]",
+        '{"version":2,"full":true,"servers":[{"id":"h9"}]}',
+        '{"version":"x","full":true,"servers":[]}',
+        '{"version":2,"full":true,"servers":[' + json.dumps(hosts(1)[0]) + ",",
+    ],
+)
 @on_loop
 async def test_a_list_that_is_none_leaves_the_last_one_in_force(raw, tmp_path):
     async with Lists(hosts(90)) as lists, Node(path=tmp_path, more=using(lists, size=12)) as node:
@@ -208,8 +235,11 @@
 @on_loop
 async def test_requests_are_served_while_a_long_list_is_read(tmp_path):
     """No turn of the loop reads more than SLICE entries."""
-    async with StubHost() as host, Lists(hosts(60, host.port)) as lists, \
-            Node(path=tmp_path, more=by_service(lists, size=12)) as node:  # no agent: it has time to answer
+    async with (
+        StubHost() as host,
+        Lists(hosts(60, host.port)) as lists,
+        Node(path=tmp_path, more=by_service(lists, size=12)) as node,
+    ):  # no agent: it has time to answer
         await lists.watched()
         viewing, served, turns = node.node.discovery.viewing, [], []
         reader, writer = await node.connect()
@@ -261,8 +291,11 @@
 @on_loop
 async def test_an_address_that_lags_brings_no_host_of_the_shelf_back_that_drained(started, used, tmp_path):
     """It was outside the view when it drained, and would enter it."""
-    async with Lists(hosts(60)) as lists, Lists(hosts(60)) as behind, \
-            Node(path=tmp_path, more=using(lists, size=12)) as node:
+    async with (
+        Lists(hosts(60)) as lists,
+        Lists(hosts(60)) as behind,
+        Node(path=tmp_path, more=using(lists, size=12)) as node,
+    ):
         await lists.watched()
         lists.version = 41
         out = next(entry for entry in lists.servers if entry["id"] not in pools(node))
@@ -270,8 +303,9 @@
         await lists.watched()
         behind.version = 40
         behind.servers = [e | {"started_ms": started} if e == out else e for e in behind.servers]
-        node.file.write_text(json.dumps(json.loads(node.file.read_text()) | {
-            "discovery": f"127.0.0.1:{behind.port}"}))
+        node.file.write_text(
+            json.dumps(json.loads(node.file.read_text()) | {"discovery": f"127.0.0.1:{behind.port}"})
+        )
         node.node.reload()
         await behind.watched()
         node.node.discovery.viewing.wanted = Wanted(12, (), 100)
@@ -284,8 +318,18 @@
 
 
 def laid(shelf, name, **kw):
-    shelf.lay(api.Host(name, kw.pop("zone", "a"), 0, kw.pop("weight", 1.0), kw.pop("kind", "k"),
-                       kw.pop("state", "up"), 0.0), ("::1", 6379))
+    shelf.lay(
+        api.Host(
+            name,
+            kw.pop("zone", "a"),
+            0,
+            kw.pop("weight", 1.0),
+            kw.pop("kind", "k"),
+            kw.pop("state", "up"),
+            0.0,
+        ),
+        ("::1", 6379),
+    )
 
 
 @pytest.mark.parametrize("kinds", [(), ("k", "l")])
@@ -334,16 +378,31 @@
     tracemalloc.start()
     try:
         for n, name in enumerate(names):
-            shelf.lay(api.Host(name, "abcdef"[n % 6], n % 7, 1.0, f"svc-{n % 3 + 1}", "up", 0.0),
-                      (f"10.1.{n // 250}.{n % 250}", 6379))
+            shelf.lay(
+                api.Host(name, "abcdef"[n % 6], n % 7, 1.0, f"svc-{n % 3 + 1}", "up", 0.0),
+                (f"10.1.{n // 250}.{n % 250}", 6379),
+            )
         assert tracemalloc.get_traced_memory()[0] / len(names) < most
     finally:
         tracemalloc.stop()
 
 
-@pytest.mark.parametrize("told", [
-    [], {}, {"size": 0}, {"size": "9"}, {"size": True}, {"size": 9, "most": 8}, {"size": 9, "most": 1e9},
-    {"size": 9, "kinds": "k"}, {"size": 9, "kinds": [""]}, {"size": 9, "kinds": [1]}, {"size": 9, "more": 1}])
+@pytest.mark.parametrize(
+    "told",
+    [
+        [],
+        {},
+        {"size": 0},
+        {"size": "9"},
+        {"size": True},
+        {"size": 9, "most": 8},
+        {"size": 9, "most": 1e9},
+        {"size": 9, "kinds": "k"},
+        {"size": 9, "kinds": [""]},
+        {"size": 9, "kinds": [1]},
+        {"size": 9, "more": 1},
+    ],
+)
 def test_a_key_that_cannot_be_read_is_told_so(told):
     with pytest.raises(ValueError):
         read_wanted(told)
@@ -358,8 +417,9 @@
 
 
 def by_service(one, *others, keep=False, **view):
-    return using(one, **view) | {"replicas": {
-        "others": [f"127.0.0.1:{port}" for port in others], "keep": keep}}
+    return using(one, **view) | {
+        "replicas": {"others": [f"127.0.0.1:{port}" for port in others], "keep": keep}
+    }
 
 
 def rewrite(serving, servers):
@@ -371,8 +431,10 @@
 @on_loop
 async def test_a_service_that_knows_views_is_asked_for_the_view_alone(kinds, tmp_path):
     servers = hosts(300, kinds=5)
-    async with Serving(tmp_path, servers) as serving, \
-            Node(path=tmp_path, more=by_service(serving, size=20, kinds=list(kinds))) as node:
+    async with (
+        Serving(tmp_path, servers) as serving,
+        Node(path=tmp_path, more=by_service(serving, size=20, kinds=list(kinds))) as node,
+    ):
         own = viewed(servers, 20, kinds)
         await until(lambda: pools(node) == own and serving.service.waiting)
         viewing, seen = node.node.discovery.viewing, told(node)
@@ -392,8 +454,10 @@
 @on_loop
 async def test_widen_asks_the_service_for_the_larger_view(tmp_path):
     servers = hosts(90)
-    async with Serving(tmp_path, servers) as serving, \
-            Node(path=tmp_path, more=by_service(serving, size=6, most=30)) as node:
+    async with (
+        Serving(tmp_path, servers) as serving,
+        Node(path=tmp_path, more=by_service(serving, size=6, most=30)) as node,
+    ):
         for asked, size in ((6, 6), (20, 20), (1000, 30), (3, 6)):
             node.node.actions[api.Widen](api.Widen(asked))
             await until(lambda size=size: pools(node) == viewed(servers, size) and serving.service.waiting)
@@ -403,8 +467,10 @@
 @on_loop
 async def test_an_index_that_is_too_old_brings_the_whole_view(tmp_path):
     servers = hosts(90)
-    async with Serving(tmp_path, servers) as serving, \
-            Node(path=tmp_path, more=by_service(serving, size=12)) as node:
+    async with (
+        Serving(tmp_path, servers) as serving,
+        Node(path=tmp_path, more=by_service(serving, size=12)) as node,
+    ):
         await until(lambda: pools(node) == viewed(servers, 12) and serving.service.waiting)
         seen = told(node)
         node.node.discovery.version = 1  # what changed since then is not remembered
@@ -441,8 +507,11 @@
 @on_loop
 async def test_a_change_of_discovery_by_call_brings_the_view_from_there(tmp_path):
     ours, theirs = hosts(90), [entry | {"id": f"t{entry['id']}"} for entry in hosts(120)]
-    async with Serving(tmp_path, ours) as serving, Lists(theirs) as lists, \
-            Node(path=tmp_path, more=by_service(serving, size=12)) as node:
+    async with (
+        Serving(tmp_path, ours) as serving,
+        Lists(theirs) as lists,
+        Node(path=tmp_path, more=by_service(serving, size=12)) as node,
+    ):
         await until(lambda: pools(node) == viewed(ours, 12))
         seen = (await node.call("GET /config"))[1]
         tree = seen["config"] | {"discovery": f"127.0.0.1:{lists.port}"}
@@ -523,13 +592,22 @@
         for _ in range(rng.choice((0, 1, 3, 30))):
             name = f"s-{rng.randrange(80)}"
             state = rng.choice(("up", "up", "up", "draining", "removed"))
-            changed[name] = hosts(1)[0] | {"id": name, "zone": rng.choice("abc"), "state": state,
-                                           "kind": f"k{rng.randrange(4)}", "weight": rng.choice((1.0, 2.0))}
+            changed[name] = hosts(1)[0] | {
+                "id": name,
+                "zone": rng.choice("abc"),
+                "state": state,
+                "kind": f"k{rng.randrange(4)}",
+                "weight": rng.choice((1.0, 2.0)),
+            }
         every = {n: e for n, e in (every | changed).items() if e["state"] != "removed"}
-        told = await (listing("full", every.values()) if step == 0 or rng.random() < 0.1
-                      else listing("delta", changed.values()))
+        told = await (
+            listing("full", every.values())
+            if step == 0 or rng.random() < 0.1
+            else listing("delta", changed.values())
+        )
         await viewing.bring(told)
         tell(viewing.take(told, lambda host: host, []).hosts)
-        if rng.random() < 0.2 and (viewing.resize(rng.randrange(60)) or viewing.move(
-                rng.randrange(9), rng.choice("abcd"))):
+        if rng.random() < 0.2 and (
+            viewing.resize(rng.randrange(60)) or viewing.move(rng.randrange(9), rng.choice("abcd"))
+        ):
             tell(viewing.shift(read_list({"version": 1, "full": False, "servers": []})).hosts)
--- a/tests/test_quota_fleet.py
+++ b/tests/test_quota_fleet.py
@@ -186,10 +186,20 @@
 # is answered each window gives its burst anew, and rounding a unit at each gateway. What ran over is brought
 # along by the first call of a window: where that is lost, so is the debt, in each of three windows. What was
 # added by calls that are out at a window's end is known to nobody: beside the allowance a burst comes anew.
-@pytest.mark.parametrize("part, bound", [
-    (one_moment, 0.5), (over_the_end, 1.5), (lightly, 0.5), (across_the_end, 1.0), (for_three_windows, 1.0),
-    (calls_refused, 0.0), (calls_lost, 0.0), (calls_lost_across_the_end, 1.0 + 2 * GATEWAYS / BURST),
-    (some_lost, 3.0)])
+@pytest.mark.parametrize(
+    "part, bound",
+    [
+        (one_moment, 0.5),
+        (over_the_end, 1.5),
+        (lightly, 0.5),
+        (across_the_end, 1.0),
+        (for_three_windows, 1.0),
+        (calls_refused, 0.0),
+        (calls_lost, 0.0),
+        (calls_lost_across_the_end, 1.0 + 2 * GATEWAYS / BURST),
+        (some_lost, 3.0),
+    ],
+)
 @on_loop
 async def test_what_each_part_lets_pass_beyond_a_quota_is_bounded(part, bound, scratch):
     lost = part in (calls_lost, calls_lost_across_the_end, some_lost)
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -47,10 +47,19 @@
     assert len(told) == 1 and len(told[0].hosts) == 50
 
 
-@pytest.mark.parametrize("index, epoch, whole", [
-    (100, None, False), (101, "e", False), (99, None, True), (5, None, True), (0, None, True),
-    (2 ** 60, None, True), (101, "other", True), (101, "", True),
-])
+@pytest.mark.parametrize(
+    "index, epoch, whole",
+    [
+        (100, None, False),
+        (101, "e", False),
+        (99, None, True),
+        (5, None, True),
+        (0, None, True),
+        (2**60, None, True),
+        (101, "other", True),
+        (101, "", True),
+    ],
+)
 def test_an_index_too_old_from_the_future_or_of_another_epoch_gets_the_whole_list(index, epoch, whole):
     r = Registry("e", 100)
     r.load(0.0, [host("a")])
@@ -110,8 +119,13 @@
     r = Registry("e", 1)
     r.register(0.0, host("a"), 7, 5.0)
     r.register(1.0, host("a", started_ms=9), 8, 5.0)
-    for act in (lambda: r.renew(2.0, "a", 7), lambda: r.drain(2.0, "a", 7), lambda: r.deregister(2.0, "a", 7),
-                lambda: r.register(2.0, host("a"), 7, 5.0), lambda: r.renew(2.0, "b", 7)):
+    for act in (
+        lambda: r.renew(2.0, "a", 7),
+        lambda: r.drain(2.0, "a", 7),
+        lambda: r.deregister(2.0, "a", 7),
+        lambda: r.register(2.0, host("a"), 7, 5.0),
+        lambda: r.renew(2.0, "b", 7),
+    ):
         version = r.version
         with pytest.raises(Stale):
             act()
@@ -245,6 +259,7 @@
 
 # Seeded runs: what a watcher puts together from its answers is the list, whatever is lost or late
 
+
 class Watcher:
     """As the gateway does it: changes are added to what it has, the whole list replaces that."""
 
@@ -314,8 +329,11 @@
                 w.asked = r
                 if w.index is None:
                     w.take(r.answer(w, None), r.epoch)
-                elif (answer := r.watch(now, w, w.index, rng.choice([0.0, 5.0, 60.0]),
-                                             w.epoch if aware else None)) is not None:
+                elif (
+                    answer := r.watch(
+                        now, w, w.index, rng.choice([0.0, 5.0, 60.0]), w.epoch if aware else None
+                    )
+                ) is not None:
                     w.take(answer, r.epoch)
             elif w.asked is not None and rng.random() < 0.05:  # it vanishes and comes back
                 r.forget(w)
@@ -325,8 +343,12 @@
     now += core.GATHER + 0.01
     for w in watchers:
         r.forget(w)
-        w.take(r.answer(w, None) if w.index is None else r.watch(
-            now, w, w.index, 0.0, w.epoch if aware else None), r.epoch)
+        w.take(
+            r.answer(w, None)
+            if w.index is None
+            else r.watch(now, w, w.index, 0.0, w.epoch if aware else None),
+            r.epoch,
+        )
         assert {n: e.state for n, e in w.list.items()} == states(r)
     ups = [e for e in r.entries.values() if e.ttl and e.host.state == "up" and e.until < now - 1]
     assert {e.host.id for e in ups} <= r.held
@@ -338,8 +360,11 @@
 
 
 def planted_base(monkeypatch):
-    monkeypatch.setattr(Registry, "since", lambda self, index: tuple(
-        e.host for e in self.entries.values() if e.changed > index))
+    monkeypatch.setattr(
+        Registry,
+        "since",
+        lambda self, index: tuple(e.host for e in self.entries.values() if e.changed > index),
+    )
 
 
 def planted_forgotten_at_once(monkeypatch):
--- a/tests/test_registry_service.py
+++ b/tests/test_registry_service.py
@@ -59,8 +59,16 @@
         await self.service.close()
 
 
-ONE = {"id": "s-1", "addr": "10.1.0.18:6379", "zone": "a", "kind": "m2", "cell": 3, "state": "up",
-       "weight": 1.0, "started_ms": 7}
+ONE = {
+    "id": "s-1",
+    "addr": "10.1.0.18:6379",
+    "zone": "a",
+    "kind": "m2",
+    "cell": 3,
+    "state": "up",
+    "weight": 1.0,
+    "started_ms": 7,
+}
 
 
 @on_loop
@@ -68,13 +76,21 @@
     async with Serving(tmp_path, [ONE]) as serving:
         assert await serving.list() == {"version": 42, "full": True, "epoch": "e1", "servers": [ONE]}
         assert await serving.list("?index=42&wait=1") == {
-            "version": 42, "full": False, "epoch": "e1", "servers": []}
+            "version": 42,
+            "full": False,
+            "epoch": "e1",
+            "servers": [],
+        }
         watch = asyncio.create_task(serving.list("?index=42&wait=20000"))
         await until(lambda: serving.service.waiting)
         serving.file.write_text(json.dumps({"servers": [ONE | {"state": "draining"}]}))
         serving.service.reload()
-        assert await watch == {"version": 43, "full": False, "epoch": "e1",
-                               "servers": [ONE | {"state": "draining"}]}
+        assert await watch == {
+            "version": 43,
+            "full": False,
+            "epoch": "e1",
+            "servers": [ONE | {"state": "draining"}],
+        }
         assert (await serving.list("?index=42&wait=0&epoch=e0"))["full"] is True
         assert not serving.service.waiting and not serving.service.registry.watches
 
@@ -94,29 +110,43 @@
         assert (await serving.call("GET", "/status"))[1]["hosts"] == {"up": 0, "draining": 0, "removed": 1}
 
 
-@pytest.mark.parametrize("call, body, status, word", [
-    ("GET /v1/endpoints?index=x", None, 400, "index"), ("GET /v1/endpoints?index=-1", None, 400, "index"),
-    ("GET /v1/endpoints?index=" + "9" * 30, None, 400, "index"),
-    ("GET /v1/endpoints?more=1", None, 400, "hold"),
-    ("GET /v1/endpoints?index=1&wait=x", None, 400, "wait"), ("GET /else", None, 404, "no such"),
-    ("POST /v1/endpoints", None, 404, "no such"), ("GET /v1/hosts/h", None, 405, "PUT"),
-    ("POST /v1/hosts/h/renew", None, 400, "incarnation"), ("POST /v1/hosts/h/dance", None, 405, "PUT"),
-    ("POST /v1/hosts/h/renew?incarnation=x", None, 400, "incarnation"),
-    ("POST /v1/hosts/h/renew?incarnation=1", None, 409, "registered"),
-    ("PUT /v1/hosts/h", b"", 400, "JSON"), ("PUT /v1/hosts/h", b"[" * 9000, 400, "JSON"),
-    ("PUT /v1/hosts/h", b"[]", 400, "object"), ("PUT /v1/hosts/h", b" " * 20_000, 413, "bytes"),
-    ("PUT /v1/hosts/h", {"addr": None}, 400, "addr"), ("PUT /v1/hosts/h", {"addr": "x"}, 400, "HOST:PORT"),
-    ("PUT /v1/hosts/h", {"ttl_ms": 1}, 400, "ttl_ms"), ("PUT /v1/hosts/h", {"ttl_ms": "9000"}, 400, "ttl_ms"),
-    ("PUT /v1/hosts/h", {"incarnation": -1}, 400, "incarnation"),
-    ("PUT /v1/hosts/h", {"id": "g"}, 400, "names"),
-    ("PUT /v1/hosts/h", {"incarnation": True}, 400, "incarnation"),
-    ("PUT /v1/hosts/h", {"weight": 0}, 400, "weight"), ("PUT /v1/hosts/h", {"weight": 1e999}, 400, "weight"),
-    ("PUT /v1/hosts/h", {"weight": float("nan")}, 400, "weight"),
-    ("PUT /v1/hosts/h", {"cell": 1.5}, 400, "cell"),
-    ("PUT /v1/hosts/h", {"started_ms": -1}, 400, "started_ms"), ("PUT /v1/hosts/h", {"zone": 5}, 400, "zone"),
-    ("PUT /v1/hosts/h", {"state": "draining"}, 400, "up"), ("PUT /v1/hosts/h", {"more": 1}, 400, "more"),
-    ("PUT /v1/hosts/" + "h" * 200, {}, 400, "id"),
-])
+@pytest.mark.parametrize(
+    "call, body, status, word",
+    [
+        ("GET /v1/endpoints?index=x", None, 400, "index"),
+        ("GET /v1/endpoints?index=-1", None, 400, "index"),
+        ("GET /v1/endpoints?index=" + "9" * 30, None, 400, "index"),
+        ("GET /v1/endpoints?more=1", None, 400, "hold"),
+        ("GET /v1/endpoints?index=1&wait=x", None, 400, "wait"),
+        ("GET /else", None, 404, "no such"),
+        ("POST /v1/endpoints", None, 404, "no such"),
+        ("GET /v1/hosts/h", None, 405, "PUT"),
+        ("POST /v1/hosts/h/renew", None, 400, "incarnation"),
+        ("POST /v1/hosts/h/dance", None, 405, "PUT"),
+        ("POST /v1/hosts/h/renew?incarnation=x", None, 400, "incarnation"),
+        ("POST /v1/hosts/h/renew?incarnation=1", None, 409, "registered"),
+        ("PUT /v1/hosts/h", b"", 400, "JSON"),
+        ("PUT /v1/hosts/h", b"[" * 9000, 400, "JSON"),
+        ("PUT /v1/hosts/h", b"[]", 400, "object"),
+        ("PUT /v1/hosts/h", b" " * 20_000, 413, "bytes"),
+        ("PUT /v1/hosts/h", {"addr": None}, 400, "addr"),
+        ("PUT /v1/hosts/h", {"addr": "x"}, 400, "HOST:PORT"),
+        ("PUT /v1/hosts/h", {"ttl_ms": 1}, 400, "ttl_ms"),
+        ("PUT /v1/hosts/h", {"ttl_ms": "9000"}, 400, "ttl_ms"),
+        ("PUT /v1/hosts/h", {"incarnation": -1}, 400, "incarnation"),
+        ("PUT /v1/hosts/h", {"id": "g"}, 400, "names"),
+        ("PUT /v1/hosts/h", {"incarnation": True}, 400, "incarnation"),
+        ("PUT /v1/hosts/h", {"weight": 0}, 400, "weight"),
+        ("PUT /v1/hosts/h", {"weight": 1e999}, 400, "weight"),
+        ("PUT /v1/hosts/h", {"weight": float("nan")}, 400, "weight"),
+        ("PUT /v1/hosts/h", {"cell": 1.5}, 400, "cell"),
+        ("PUT /v1/hosts/h", {"started_ms": -1}, 400, "started_ms"),
+        ("PUT /v1/hosts/h", {"zone": 5}, 400, "zone"),
+        ("PUT /v1/hosts/h", {"state": "draining"}, 400, "up"),
+        ("PUT /v1/hosts/h", {"more": 1}, 400, "more"),
+        ("PUT /v1/hosts/" + "h" * 200, {}, 400, "id"),
+    ],
+)
 @on_loop
 async def test_what_is_malformed_is_refused_with_the_reason(call, body, status, word):
     async with Serving() as serving:
@@ -175,6 +205,7 @@
     async with Serving() as serving:
         connector = aiohttp.TCPConnector(limit=0)
         async with aiohttp.ClientSession(connector=connector, trust_env=False) as session:
+
             async def watch():
                 url = f"http://127.0.0.1:{serving.port}/v1/endpoints?index=41&wait=30000"
                 async with session.get(url) as answer:
@@ -192,8 +223,10 @@
 @on_loop
 async def test_a_broken_file_changes_nothing(tmp_path, caplog):
     async with Serving(tmp_path, [ONE]) as serving:
-        bad = [json.dumps({"servers": servers})
-               for servers in (5, [{}], [ONE, ONE], [ONE | {"state": "gone"}], [ONE, 5])]
+        bad = [
+            json.dumps({"servers": servers})
+            for servers in (5, [{}], [ONE, ONE], [ONE | {"state": "gone"}], [ONE, 5])
+        ]
         for text in ("", "{", "[]", "{}", *bad):
             serving.file.write_text(text)
             caplog.clear()
@@ -234,6 +267,7 @@
 
 # The program
 
+
 class Cycle:
     def __init__(self):
         self.me = self
@@ -279,8 +313,9 @@
 
 
 def test_a_service_that_runs_has_short_collections():
-    ended = subprocess.run([sys.executable, "-c", SERVED_SHORT], cwd=ROOT, capture_output=True, text=True,
-                           timeout=60)
+    ended = subprocess.run(
+        [sys.executable, "-c", SERVED_SHORT], cwd=ROOT, capture_output=True, text=True, timeout=60
+    )
     assert ended.returncode == 0 and int(ended.stdout) >= 100_000
 
 
@@ -296,12 +331,19 @@
     return subprocess.run(PROGRAM, cwd=ROOT, env=env, capture_output=True, text=True, timeout=60, **kw)
 
 
-@pytest.mark.parametrize("told, word", [
-    ("", "Expecting"), ("[]", "list"), ({}, "listen"), ({"listen": "nowhere"}, "HOST:PORT"),
-    ({"listen": "127.0.0.1:0", "more": 1}, "more"), ({"listen": "127.0.0.1:0", "watchers": 0}, "watchers"),
-    ({"listen": "127.0.0.1:0", "hosts": "/none/there.json"}, "No such file"),
-    ({"listen": "127.0.0.1:0", "learn_ms": -1}, "learn_ms"),
-])
+@pytest.mark.parametrize(
+    "told, word",
+    [
+        ("", "Expecting"),
+        ("[]", "list"),
+        ({}, "listen"),
+        ({"listen": "nowhere"}, "HOST:PORT"),
+        ({"listen": "127.0.0.1:0", "more": 1}, "more"),
+        ({"listen": "127.0.0.1:0", "watchers": 0}, "watchers"),
+        ({"listen": "127.0.0.1:0", "hosts": "/none/there.json"}, "No such file"),
+        ({"listen": "127.0.0.1:0", "learn_ms": -1}, "learn_ms"),
+    ],
+)
 def test_a_bad_configuration_is_one_plain_line_and_status_2(told, word, tmp_path):
     ended = start(tmp_path, told)
     assert ended.returncode == 2 and ended.stderr.startswith("calicomast.registry: ")
@@ -314,8 +356,11 @@
     hosts.write_text(json.dumps({"servers": [ONE]}))
     (tmp_path / "registry.json").write_text(json.dumps({"listen": "127.0.0.1:0", "hosts": str(hosts)}))
     program = await asyncio.create_subprocess_exec(
-        *PROGRAM, cwd=ROOT, env={**os.environ, "REGISTRY_CONFIG": str(tmp_path / "registry.json")},
-        stderr=subprocess.PIPE)
+        *PROGRAM,
+        cwd=ROOT,
+        env={**os.environ, "REGISTRY_CONFIG": str(tmp_path / "registry.json")},
+        stderr=subprocess.PIPE,
+    )
     port = int((await program.stderr.readline()).decode().rsplit(":", 1)[1])
     async with aiohttp.ClientSession(trust_env=False) as session:
         url = f"http://127.0.0.1:{port}/v1/endpoints"
--- a/tests/test_registry_views.py
+++ b/tests/test_registry_views.py
@@ -40,6 +40,7 @@
 
 # The core
 
+
 def test_a_watch_by_view_is_told_what_changes_within_it_and_not_woken_by_the_rest():
     r, view = filled(200), View(3, 20, "a")
     whole = r.view(1.0, "k", view)
@@ -62,7 +63,8 @@
     back = r.entries[gone].host
     r.leave(1.0, r.entries[gone])
     assert [(h.id, h.state) for h in r.watch_view(1.0, "k", view, at, 0.0, "e").hosts if h.id == gone] == [
-        (gone, "draining")]
+        (gone, "draining")
+    ]
     settle(r, 1.5 + core.DRAIN)
     told = {h.id: h.state for h in r.watch_view(12.0, "k", view, at, 0.0, "e").hosts}
     entered = members(r, view) - before
@@ -87,10 +89,18 @@
     assert left[name] == "removed" and came == {name: "up"}
 
 
-@pytest.mark.parametrize("index, epoch, whole", [
-    (0, "e", False), (0, None, False), (-1, "e", True), (1, "e", True), (2 ** 60, None, True),
-    (0, "other", True), (0, "", True),
-])
+@pytest.mark.parametrize(
+    "index, epoch, whole",
+    [
+        (0, "e", False),
+        (0, None, False),
+        (-1, "e", True),
+        (1, "e", True),
+        (2**60, None, True),
+        (0, "other", True),
+        (0, "", True),
+    ],
+)
 def test_an_index_that_is_not_known_or_of_another_epoch_gets_the_whole_view(index, epoch, whole):
     r, view = filled(200), View(3, 20, "a")
     r.view(1.0, "k", view)
@@ -233,8 +243,9 @@
     for view in all_:
         r.view(1.0, None, view)
     made, remake = [], views.Views.remake
-    monkeypatch.setattr(views.Views, "remake", lambda self, live, *rest: (
-        made.append(live.view) or remake(self, live, *rest)))
+    monkeypatch.setattr(
+        views.Views, "remake", lambda self, live, *rest: made.append(live.view) or remake(self, live, *rest)
+    )
     before = {view: members(r, view) for view in all_}
     for n in range(20):
         change(r, 2.0 + n, f"h{n}", state="draining")
@@ -250,13 +261,21 @@
     r, view = filled(600, zones="abbbb"), View(3, 60, "a", kinds)
     at, before = r.view(1.0, None, view).version, members(r, view)
     assert r.watch_view(1.0, "k", view, at, 60.0, "e") is None
-    r.register(2.0, host(far := max(r.entries, key=lambda n: (place_of(n) - view.place) % RING) + "x",
-                         zone="c", kind="k"), 1, 60.0)
+    r.register(
+        2.0,
+        host(
+            far := max(r.entries, key=lambda n: (place_of(n) - view.place) % RING) + "x", zone="c", kind="k"
+        ),
+        1,
+        60.0,
+    )
     (told,) = settle(r, 2.2)
     after = members(r, view)
     assert far not in after and len(after - before) > 5
     assert {h.id: h.state for h in told.hosts} == {
-        **dict.fromkeys(after - before, "up"), **dict.fromkeys(before - after, "removed")}
+        **dict.fromkeys(after - before, "up"),
+        **dict.fromkeys(before - after, "removed"),
+    }
     assert r.watch_view(3.0, "k", view, told.version, 60.0, "e") is None
     r.drain(3.0, far, 1)
     (told,) = settle(r, 3.2)
@@ -278,8 +297,10 @@
             told[number] = live, length
         place = rng.choice([0, RING - 1, rng.randrange(RING), live.view.place])
         assert sorted(found.number for found in arcs.covering(place)) == sorted(
-            n for n, (other, length) in told.items()
-            if length is None or (place - other.view.place) % RING <= length)
+            n
+            for n, (other, length) in told.items()
+            if length is None or (place - other.view.place) % RING <= length
+        )
 
 
 class Client:
@@ -315,8 +336,17 @@
     monkeypatch.setattr(core, "MOST_GONE", 6)
     r, now = Registry("e", 1), 0.0
     zones, kinds = rng.choice(["a", "ab", "abcd"]), rng.choice(["k", "kl"])
-    clients = [Client(View(rng.randrange(9), rng.choice([1, 4, 9, 40]), rng.choice([*zones, ""]),
-                           rng.choice([(), ("k",), ("k", "l")]))) for _ in range(8)]
+    clients = [
+        Client(
+            View(
+                rng.randrange(9),
+                rng.choice([1, 4, 9, 40]),
+                rng.choice([*zones, ""]),
+                rng.choice([(), ("k",), ("k", "l")]),
+            )
+        )
+        for _ in range(8)
+    ]
     clients += [Client(clients[0].view) for _ in range(2)]
     names = [f"h{n}" for n in range(rng.choice([10, 60]))]
 
@@ -333,8 +363,12 @@
             try:
                 op = rng.choice(["register"] * 4 + ["renew", "drain", "deregister"])
                 if op == "register":
-                    r.register(now, host(name, zone=rng.choice(zones), kind=rng.choice(kinds)), 1,
-                               rng.choice([1.0, 60.0]))
+                    r.register(
+                        now,
+                        host(name, zone=rng.choice(zones), kind=rng.choice(kinds)),
+                        1,
+                        rng.choice([1.0, 60.0]),
+                    )
                 elif op == "renew":
                     r.renew(now, name, 1)
                 elif op == "drain":
@@ -357,8 +391,14 @@
                 if client.index is None or rng.random() < 0.05:
                     take(client, r.view(now, client, client.view))
                 else:
-                    answer = r.watch_view(now, client, client.view, client.index,
-                                          rng.choice([0.0, 1.0, 60.0]), rng.choice([None, "e"]))
+                    answer = r.watch_view(
+                        now,
+                        client,
+                        client.view,
+                        client.index,
+                        rng.choice([0.0, 1.0, 60.0]),
+                        rng.choice([None, "e"]),
+                    )
                     client.asked = answer is None
                     if answer is not None:
                         take(client, answer)
@@ -381,28 +421,50 @@
 def planted_entering_unseen(monkeypatch):
     """Only views that hold a host hear of it."""
     covering = views.Arcs.covering
-    monkeypatch.setattr(views.Arcs, "covering", lambda self, place: (
-        live for live in covering(self, place)
-        if any(place_of(name) == place for hosts in live.hosts.values() for name in hosts)))
+    monkeypatch.setattr(
+        views.Arcs,
+        "covering",
+        lambda self, place: (
+            live
+            for live in covering(self, place)
+            if any(place_of(name) == place for hosts in live.hosts.values() for name in hosts)
+        ),
+    )
 
 
 def planted_leaving_untold(monkeypatch):
     mark = views.Live.mark
-    monkeypatch.setattr(views.Live, "mark", lambda self, version, told: (
-        None if told.state == "removed" else mark(self, version, told)))
+    monkeypatch.setattr(
+        views.Live,
+        "mark",
+        lambda self, version, told: None if told.state == "removed" else mark(self, version, told),
+    )
 
 
 def planted_base(monkeypatch):
-    monkeypatch.setattr(views.Live, "trim", lambda self, horizon: [
-        self.marks.pop(next(iter(self.marks))) for _ in range(len(self.marks) - views.MARKS_LEAST)])
+    monkeypatch.setattr(
+        views.Live,
+        "trim",
+        lambda self, horizon: [
+            self.marks.pop(next(iter(self.marks))) for _ in range(len(self.marks) - views.MARKS_LEAST)
+        ],
+    )
 
 
 def planted_old_place(monkeypatch):
     """A host that changes its zone or kind is looked up where it is now, not where it was."""
     touch = views.Views.touch
-    monkeypatch.setattr(views.Views, "touch", lambda self, name: (
-        touch(self, name) if name in self.told and self.rings.known[name].kind == self.told[name].kind
-        and self.rings.known[name].zone == self.told[name].zone else None))
+    monkeypatch.setattr(
+        views.Views,
+        "touch",
+        lambda self, name: (
+            touch(self, name)
+            if name in self.told
+            and self.rings.known[name].kind == self.told[name].kind
+            and self.rings.known[name].zone == self.told[name].zone
+            else None
+        ),
+    )
     put = views.Views.put
 
     def late(self, told):
@@ -414,8 +476,9 @@
     monkeypatch.setattr(views.Views, "put", late)
 
 
-@pytest.mark.parametrize("bug", [planted_entering_unseen, planted_leaving_untold, planted_base,
-                                 planted_old_place])
+@pytest.mark.parametrize(
+    "bug", [planted_entering_unseen, planted_leaving_untold, planted_base, planted_old_place]
+)
 def test_a_planted_bug_is_caught(bug, monkeypatch):
     bug(monkeypatch)
     caught = 0
@@ -429,10 +492,21 @@
 
 # Over sockets
 
+
 def listed(count, zones="ab"):
-    return [{"id": f"h{n}", "addr": f"10.0.{n // 250}.{n % 250}:6379", "zone": zones[n % len(zones)],
-             "kind": f"k{n % 3}", "cell": 0, "state": "up", "weight": 1.0, "started_ms": 0}
-            for n in range(count)]
+    return [
+        {
+            "id": f"h{n}",
+            "addr": f"10.0.{n // 250}.{n % 250}:6379",
+            "zone": zones[n % len(zones)],
+            "kind": f"k{n % 3}",
+            "cell": 0,
+            "state": "up",
+            "weight": 1.0,
+            "started_ms": 0,
+        }
+        for n in range(count)
+    ]
 
 
 def rewrite(serving, hosts):
@@ -470,12 +544,16 @@
         drained = await serving.list(f"?{view.query()}&index={told['version']}&epoch=e1&wait=5000")
         entered = held(serving, view) - before
         assert {h["id"]: h["state"] for h in drained["servers"]} == {
-            inside: "draining", **dict.fromkeys(entered, "up")} and len(entered) == 1
+            inside: "draining",
+            **dict.fromkeys(entered, "up"),
+        } and len(entered) == 1
         assert drained["total"] == 299
         rewrite(serving, hosts)  # it is back
         told = await serving.list(f"?{view.query()}&index={drained['version']}&epoch=e1&wait=5000")
         assert {h["id"]: h["state"] for h in told["servers"]} == {
-            inside: "up", **dict.fromkeys(entered, "removed")}
+            inside: "up",
+            **dict.fromkeys(entered, "removed"),
+        }
         assert (await serving.call("GET", "/status"))[1]["views"] == 1
 
 
@@ -497,15 +575,27 @@
         assert await serving.list() == {"version": 61, "full": True, "epoch": "e1", "servers": listed(20)}
         await serving.list("?view=1,5")
         assert await serving.list("?index=60") == {
-            "version": 61, "full": False, "epoch": "e1", "servers": listed(20)[-1:]}
-
-
-@pytest.mark.parametrize("query, word", [
-    ("view=", "INDEX"), ("view=1", "INDEX"), ("view=1,0", "size"), ("view=-1,5", "INDEX"),
-    ("kinds=a", "view"),
-    ("view=1,5&kinds=" + ",".join(f"k{n}" for n in range(4097)), "kinds"), ("view=1,65537,a&index=1", "size"),
-    ("view=1,5," + "z" * 200, "characters"), ("view=1,5&kinds=" + "z" * 200, "characters"),
-])
+            "version": 61,
+            "full": False,
+            "epoch": "e1",
+            "servers": listed(20)[-1:],
+        }
+
+
+@pytest.mark.parametrize(
+    "query, word",
+    [
+        ("view=", "INDEX"),
+        ("view=1", "INDEX"),
+        ("view=1,0", "size"),
+        ("view=-1,5", "INDEX"),
+        ("kinds=a", "view"),
+        ("view=1,5&kinds=" + ",".join(f"k{n}" for n in range(4097)), "kinds"),
+        ("view=1,65537,a&index=1", "size"),
+        ("view=1,5," + "z" * 200, "characters"),
+        ("view=1,5&kinds=" + "z" * 200, "characters"),
+    ],
+)
 @on_loop
 async def test_what_is_no_view_is_refused(query, word):
     async with Serving() as serving:
@@ -519,8 +609,10 @@
     async with Serving(tmp_path, hosts) as serving:
         view = View(4, 30, "b")
         version = (await serving.list("?" + view.query()))["version"]
-        watches = [asyncio.create_task(serving.list(f"?{view.query()}&index={version}&wait=20000"))
-                   for _ in range(90)]
+        watches = [
+            asyncio.create_task(serving.list(f"?{view.query()}&index={version}&wait=20000"))
+            for _ in range(90)
+        ]
         await until(lambda: len(serving.service.waiting) == 90)
         inside = sorted(held(serving, view))[0]
         text = serving.service.text
@@ -535,8 +627,11 @@
     made, dumps = [], json.dumps
     async with Serving(tmp_path, listed(300)) as serving:
         monkeypatch.setattr(module, "ENCODED_MOST", 30_000)
-        monkeypatch.setattr(module.json, "dumps", lambda told, **kw: (
-            made.append(told["id"]) if "id" in told else None) or dumps(told, **kw))
+        monkeypatch.setattr(
+            module.json,
+            "dumps",
+            lambda told, **kw: (made.append(told["id"]) if "id" in told else None) or dumps(told, **kw),
+        )
         sizes = []
         for n in range(60):
             told = await serving.list("?" + View(n, 30, "b").query())
@@ -569,8 +664,9 @@
         for n in range(9):
             await serving.register(f"h{n}")
         version = (await serving.list("?view=1,5"))["version"]
-        watches = [asyncio.create_task(serving.list(f"?view=1,5&index={version}&wait=20000"))
-                   for _ in range(9)]
+        watches = [
+            asyncio.create_task(serving.list(f"?view=1,5&index={version}&wait=20000")) for _ in range(9)
+        ]
         await until(lambda: len(serving.service.waiting) == 9)
         await asyncio.sleep(0.8)
         registry = serving.service.registry
--- a/tests/test_scale_fit.py
+++ b/tests/test_scale_fit.py
@@ -9,9 +9,13 @@
 from calicomast.lab.scale import fit
 
 SIZES = [100, 300, 1000, 3000, 10000, 30000]
-FORMS = {"constant": lambda n: 4.0, "log": lambda n: 2.0 + 1.5 * math.log(n),
-         "linear": lambda n: 0.2 + 0.003 * n,
-         "n log n": lambda n: 0.2 + 0.0004 * n * math.log(n), "worse": lambda n: 0.5 + 2e-6 * n ** 2}
+FORMS = {
+    "constant": lambda n: 4.0,
+    "log": lambda n: 2.0 + 1.5 * math.log(n),
+    "linear": lambda n: 0.2 + 0.003 * n,
+    "n log n": lambda n: 0.2 + 0.0004 * n * math.log(n),
+    "worse": lambda n: 0.5 + 2e-6 * n**2,
+}
 
 
 def made_up(form, noise, repeats=3, sizes=SIZES, seed=1):
@@ -38,7 +42,7 @@
 
 
 def test_the_power_of_what_is_worse():
-    found = fit.fit([(n, 3e-5 * n ** 1.5) for n in SIZES])
+    found = fit.fit([(n, 3e-5 * n**1.5) for n in SIZES])
     assert found["form"] == "worse" and found["power"] == pytest.approx(1.5, abs=0.051)
 
 
@@ -85,13 +89,17 @@
     assert fit.fit([(n, 0.003 * n) for n in (100, 1000, 3000, 10000, 56000)])["trial"]["form"] == "linear"
 
 
-@pytest.mark.parametrize("costs, told", [
-    ([1.0, 2.0, 3.0, 4.0, 5.0, 6.0], True),         # a line
-    ([1.0, 1.0, 1.0, 1.0, 1.0, 1.2], True),         # a trial off by a sixth
-    ([1.0, 1.0, 1.0, 1.0, 1.0, 1.3], False),        # by a quarter
-    ([3.0, 5.0, 3.0, 5.0, 3.0, 4.0], False),        # foretold, but loose
-    ([1.0, 9.0, 2.0, 8.0, 1.0, 9.0], False),        # no form
-    ([0.0, 0.0, 0.0, 0.0, 0.0, 0.0], True)])
+@pytest.mark.parametrize(
+    "costs, told",
+    [
+        ([1.0, 2.0, 3.0, 4.0, 5.0, 6.0], True),  # a line
+        ([1.0, 1.0, 1.0, 1.0, 1.0, 1.2], True),  # a trial off by a sixth
+        ([1.0, 1.0, 1.0, 1.0, 1.0, 1.3], False),  # by a quarter
+        ([3.0, 5.0, 3.0, 5.0, 3.0, 4.0], False),  # foretold, but loose
+        ([1.0, 9.0, 2.0, 8.0, 1.0, 9.0], False),  # no form
+        ([0.0, 0.0, 0.0, 0.0, 0.0, 0.0], True),
+    ],
+)
 def test_a_fit_foretells_if_it_describes_its_points_and_held_its_trial(costs, told):
     sizes = [100, 200, 300, 400, 500, 600]
     assert fit.foretells(fit.fit(list(zip(sizes, costs, strict=True)))) is told
@@ -145,8 +153,10 @@
 
 def test_spread_over_repeats():
     rows = fit.spread([(100, 3.0), (10, 1.0), (100, 1.0), (100, 8.0)])
-    assert rows == [{"at": 10, "repeats": 1, "min": 1.0, "median": 1.0, "max": 1.0},
-                    {"at": 100, "repeats": 3, "min": 1.0, "median": 3.0, "max": 8.0}]
+    assert rows == [
+        {"at": 10, "repeats": 1, "min": 1.0, "median": 1.0, "max": 1.0},
+        {"at": 100, "repeats": 3, "min": 1.0, "median": 3.0, "max": 8.0},
+    ]
 
 
 def test_an_extrapolation_names_its_form_and_its_reach():
--- a/tests/test_scale_latency.py
+++ b/tests/test_scale_latency.py
@@ -65,7 +65,8 @@
     ("module", Gateway, "handle", asked_for),
     ("send", gateway.Work, "payload", lambda *args: True),
     ("connect", hosts.Pool, "open", lambda *args: True),
-    ("answer", hosts, "read_reply", lambda *args: True)]
+    ("answer", hosts, "read_reply", lambda *args: True),
+]
 
 
 def shown_in(trace, part):
@@ -118,13 +119,18 @@
 @on_loop
 async def test_a_counter_that_is_slow(clock, monkeypatch, tmp_path):
     """Those that waited for it then wait for a host, which is another part."""
-    quota = SETTINGS | {"group_size": 20, "plans": [{"name": "p", "rate": 10.0, "most_at_once": 20.0}],
-                        "specifics": SETTINGS["specifics"] | {"counter_timeout": 10 ** 10}}
+    quota = SETTINGS | {
+        "group_size": 20,
+        "plans": [{"name": "p", "rate": 10.0, "most_at_once": 20.0}],
+        "specifics": SETTINGS["specifics"] | {"counter_timeout": 10**10},
+    }
     with stamped.watching() as stamps:
         async with StubHost() as host, Node(host, path=tmp_path, settings=quota) as gw:
             gw.counter.silent = True
-            asked = [asyncio.create_task(gw.ask(command(
-                b"r%d" % n, terms(spread=20), customer=b"%016x" % n))) for n in range(40)]
+            asked = [
+                asyncio.create_task(gw.ask(command(b"r%d" % n, terms(spread=20), customer=b"%016x" % n)))
+                for n in range(40)
+            ]
             await until(lambda: len(stamps.done) + len(gw.counter.held) == 40)
             waits = [name for name, trace in stamps.open.items() if trace.part == "lease"]
             assert waits and len(waits) == len(stamps.open)
@@ -242,8 +248,13 @@
     inside = outside - before
     asked = Asked(name, 10.0, 10.0 + outside + 0.005, 10.0 + outside, 10.0 + outside + 0.005, True)
     spent = dict.fromkeys(stamped.PARTS, 0.0) | {"host": 0.005} | ({part: inside} if inside else {})
-    return asked, {"began": 10.0 + before, "written": 10.0 + outside, "heard": 10.0 + outside + 0.005,
-                   "ended": asked.read, "spent": spent}
+    return asked, {
+        "began": 10.0 + before,
+        "written": 10.0 + outside,
+        "heard": 10.0 + outside + 0.005,
+        "ended": asked.read,
+        "spent": spent,
+    }
 
 
 def test_the_slowest_are_told_by_part():
@@ -262,8 +273,13 @@
 
 
 def test_a_disturbed_point_is_told_by_the_relay_and_the_load_alone():
-    sound = {"relay_outside_p99_ms": 1.2, "load_late_p99_ms": 0.3, "relay_not_served": 0.0,
-             "gateway_outside_p99_ms": 500.0, "gateway_not_served": 0.5}
+    sound = {
+        "relay_outside_p99_ms": 1.2,
+        "load_late_p99_ms": 0.3,
+        "relay_not_served": 0.0,
+        "gateway_outside_p99_ms": 500.0,
+        "gateway_not_served": 0.5,
+    }
     assert disturbed(sound) == []
     for name, value in (("relay_outside_p99_ms", 1.3), ("load_late_p99_ms", 1.3), ("relay_not_served", 0.01)):
         (why,) = disturbed(sound | {name: value})
@@ -290,21 +306,43 @@
 
 def stored(folder, name, variant, points):
     """A run of made-up figures, the same in each of three repeats."""
-    made = {"schema": 1, "name": name, "role": "gateway", "axis": "requests", "variant": variant,
-            "build": "abcdef012345", "seed": 1, "held": {}, "yardstick_ms": 21.0,
-            "machine": {"cpus": 8, "model": "made up", "memory_mb": 16000, "python": "3.11.0"},
-            "at": "2026-01-01T00:00:00+00:00",
-            "points": [{"at": at, "repeat": repeat, "figures": figures, "yardstick_ms": 21.0}
-                       for repeat in range(3) for at, figures in points.items()]}
+    made = {
+        "schema": 1,
+        "name": name,
+        "role": "gateway",
+        "axis": "requests",
+        "variant": variant,
+        "build": "abcdef012345",
+        "seed": 1,
+        "held": {},
+        "yardstick_ms": 21.0,
+        "machine": {"cpus": 8, "model": "made up", "memory_mb": 16000, "python": "3.11.0"},
+        "at": "2026-01-01T00:00:00+00:00",
+        "points": [
+            {"at": at, "repeat": repeat, "figures": figures, "yardstick_ms": 21.0}
+            for repeat in range(3)
+            for at, figures in points.items()
+        ],
+    }
     (folder / f"{name}.json").write_text(json.dumps(made))
 
 
 def test_the_page_tells_the_added_time_by_part(tmp_path):
     """Alone and among the slowest; the turn among clients only by a run that has turns."""
-    figures = {"added_p99_ms": 2.0, "slow_all_ms": 3.0, "part_connection_p99_ms": 0.5,
-               "slow_connection_ms": 0.25, "part_turn_p99_ms": 0.125, "slow_turn_ms": 0.0625}
-    stored(tmp_path, "latency-by-requests-view", "view of 480",
-           {119: figures, 595: {name: 3 * value for name, value in figures.items()}})
+    figures = {
+        "added_p99_ms": 2.0,
+        "slow_all_ms": 3.0,
+        "part_connection_p99_ms": 0.5,
+        "slow_connection_ms": 0.25,
+        "part_turn_p99_ms": 0.125,
+        "slow_turn_ms": 0.0625,
+    }
+    stored(
+        tmp_path,
+        "latency-by-requests-view",
+        "view of 480",
+        {119: figures, 595: {name: 3 * value for name, value in figures.items()}},
+    )
     target = Path(page.__file__).with_name("target.toml")
 
     def cells_of(what):
@@ -313,10 +351,20 @@
         return [cell.strip() for cell in line.strip("|").split("|")][1:6]
 
     turns = "of it waiting: for its turn among clients"
-    assert cells_of("**all that is added**") == ["2.00 ms (M)", "3.00 ms (M)", "6.00 ms (M)", "9.00 ms (M)",
-                                                 "**1.25 (D)**"]
+    assert cells_of("**all that is added**") == [
+        "2.00 ms (M)",
+        "3.00 ms (M)",
+        "6.00 ms (M)",
+        "9.00 ms (M)",
+        "**1.25 (D)**",
+    ]
     assert cells_of("of it waiting: for a connection to its host") == [
-        "0.500 ms (M)", "0.250 ms (M)", "1.50 ms (M)", "0.750 ms (M)", "0.312 (D)"]
+        "0.500 ms (M)",
+        "0.250 ms (M)",
+        "1.50 ms (M)",
+        "0.750 ms (M)",
+        "0.312 (D)",
+    ]
     assert cells_of("of it waiting: for a lease of its quota")[:4] == ["not measured"] * 4
     assert cells_of(turns)[:4] == ["not measured"] * 4
     stored(tmp_path, "latency-by-requests-edge", "edge, view of 480", {119: figures, 595: figures})
--- a/tests/test_scale_page.py
+++ b/tests/test_scale_page.py
@@ -20,31 +20,76 @@
 
 def made_up(name, points, role="gateway", axis="hosts", variant="whole list", build="e152add00000", **more):
     """A run with figures by size, as it would be stored."""
-    told = [{"at": at, "repeat": repeat, "figures": figures, "yardstick_ms": 21.0}
-            for at, repeats in points.items() for repeat, figures in enumerate(repeats)]
-    return {"schema": 1, "name": name, "role": role, "axis": axis, "variant": variant, "build": build,
-            "seed": 1, "machine": MACHINE, "yardstick_ms": 21.0, "at": "2026-01-01T00:00:00+00:00",
-            "held": {}, "points": told, **more}
+    told = [
+        {"at": at, "repeat": repeat, "figures": figures, "yardstick_ms": 21.0}
+        for at, repeats in points.items()
+        for repeat, figures in enumerate(repeats)
+    ]
+    return {
+        "schema": 1,
+        "name": name,
+        "role": role,
+        "axis": axis,
+        "variant": variant,
+        "build": build,
+        "seed": 1,
+        "machine": MACHINE,
+        "yardstick_ms": 21.0,
+        "at": "2026-01-01T00:00:00+00:00",
+        "held": {},
+        "points": told,
+        **more,
+    }
 
 
 def module_points(sizes, slope):
     def figures(n, off):
-        return {"cpu_ms_a_request": (0.2 + slope * n) * off, "cpu_ms_a_change": 0.01 + slope * n,
-                "cpu_ms_after_change": 0.3 + 2 * slope * n}
+        return {
+            "cpu_ms_a_request": (0.2 + slope * n) * off,
+            "cpu_ms_a_change": 0.01 + slope * n,
+            "cpu_ms_after_change": 0.3 + 2 * slope * n,
+        }
 
     return {n: [figures(n, off) for off in (0.99, 1.0, 1.01)] for n in sizes}
 
 
 BEFORE = made_up("module-by-hosts-before", module_points((100, 1000, 10000, 56000), 0.0003))
-AFTER = made_up("module-by-hosts-view", module_points((100, 1000, 10000, 30000), 1e-7), variant="view of 480",
-                build="abcdef012345")
-REST = {"rss_mb": 27.5, "cpu_share": 0.01, "bytes_in_s": 40.0, "bytes_out_s": 20.0, "cpu_ms_a_change": 0.001,
-        "bytes_in_a_change": 0.0, "bytes_out_a_change": 0.0, "ready_s": 0.3, "start_bytes_in": 60_000.0}
-GATEWAY = made_up("gateway-by-hosts-view", {n: [REST] for n in (200, 56000)}, variant="view of 480",
-                  build="abcdef012345")
-WHOLE = made_up("gateway-by-hosts", {n: [REST | {
-    "cpu_ms_a_change": 2.0, "bytes_in_a_change": 350.0, "bytes_out_a_change": 120.0,
-    "start_bytes_in": 136.0 * n}] for n in (200, 56000)}, build="abcdef012345")
+AFTER = made_up(
+    "module-by-hosts-view",
+    module_points((100, 1000, 10000, 30000), 1e-7),
+    variant="view of 480",
+    build="abcdef012345",
+)
+REST = {
+    "rss_mb": 27.5,
+    "cpu_share": 0.01,
+    "bytes_in_s": 40.0,
+    "bytes_out_s": 20.0,
+    "cpu_ms_a_change": 0.001,
+    "bytes_in_a_change": 0.0,
+    "bytes_out_a_change": 0.0,
+    "ready_s": 0.3,
+    "start_bytes_in": 60_000.0,
+}
+GATEWAY = made_up(
+    "gateway-by-hosts-view", {n: [REST] for n in (200, 56000)}, variant="view of 480", build="abcdef012345"
+)
+WHOLE = made_up(
+    "gateway-by-hosts",
+    {
+        n: [
+            REST
+            | {
+                "cpu_ms_a_change": 2.0,
+                "bytes_in_a_change": 350.0,
+                "bytes_out_a_change": 120.0,
+                "start_bytes_in": 136.0 * n,
+            }
+        ]
+        for n in (200, 56000)
+    },
+    build="abcdef012345",
+)
 
 
 @pytest.fixture
@@ -146,8 +191,17 @@
             altered.points[-1].figures[figure] = 1.5 * altered.points[-1].figures[figure] + 1.0
             assert plots.digest(altered, plots.at_target(book, run)).encode() not in stored, figure
         told = page.told_run(book, run)
-        for at, other in (("build", "x"), ("variant", "x"), ("at", "x"), ("failed", ["x"]), ("seed", 7),
-                          ("held", {"x": 1.0}), ("name", "x"), ("role", "x"), ("not_run", ["x"])):
+        for at, other in (
+            ("build", "x"),
+            ("variant", "x"),
+            ("at", "x"),
+            ("failed", ["x"]),
+            ("seed", 7),
+            ("held", {"x": 1.0}),
+            ("name", "x"),
+            ("role", "x"),
+            ("not_run", ["x"]),
+        ):
             altered = copy.deepcopy(run)
             setattr(altered, at, other)
             assert page.told_run(book, altered) != told, at
@@ -167,8 +221,12 @@
 
     target = cells.read_target(TARGET)
     before = told(target)
-    still = {name for part in cells.PARTS for name in target[part]
-             if before == told(target | {part: target[part] | {name: 2 * target[part][name]}})}
+    still = {
+        name
+        for part in cells.PARTS
+        for name in target[part]
+        if before == told(target | {part: target[part] | {name: 2 * target[part][name]}})
+    }
     # These stand by themselves: a percentile, what events are about, and what was wanted of the module.
     assert still == {"added_share", "failed_a_day", "apart_s", "growth", "change_cpu_ms"}
 
@@ -234,6 +292,7 @@
 
 def test_a_fit_that_failed_its_trial_or_had_none_tells_nothing_past_its_points(folder):
     """Its points lie well on it: it is the largest that was not foretold."""
+
     def told(costs):
         points = {n: [{"cpu_ms_a_request": cost}] * 3 for n, cost in costs.items()}
         store(folder, made_up("module-by-hosts-view", points, variant="view of 480", build="abcdef012345"))
@@ -264,8 +323,15 @@
 
 
 def test_too_few_sizes_give_no_figure_at_another_size(folder):
-    store(folder, made_up("module-by-hosts-view", module_points((100, 1000, 10000), 1e-7),
-                          variant="view of 480", build="abcdef012345"))
+    store(
+        folder,
+        made_up(
+            "module-by-hosts-view",
+            module_points((100, 1000, 10000), 1e-7),
+            variant="view of 480",
+            build="abcdef012345",
+        ),
+    )
     text, book = page.page(TARGET, folder)
     assert row(text, "module, CPU a request", 3) == "not measured"
     assert "too few sizes for a form" in text
@@ -328,8 +394,9 @@
         if figure.value is None or "@" in expr:
             continue
         tokens = expr.replace("(", "( ").replace(")", " )").split()
-        told = " ".join(token if token in {"+", "-", "*", "/", "(", ")"} else str(value(book, token))
-                        for token in tokens)
+        told = " ".join(
+            token if token in {"+", "-", "*", "/", "(", ")"} else str(value(book, token)) for token in tokens
+        )
         assert eval(told) == pytest.approx(figure.value), (name, expr)
         worked += 1
     assert worked > 30
@@ -354,19 +421,36 @@
     assert book["hosts_of_a_zone"].value == pytest.approx(9333.3, abs=0.1)
 
 
-@pytest.mark.parametrize("figure, expr", [
-    (lambda a, b, c: (a + b) / c, "(a + b) / c"), (lambda a, b, c: a + b / c, "a + b / c"),
-    (lambda a, b, c: a / (b * c), "a / (b * c)"), (lambda a, b, c: a - (b - c), "a - (b - c)"),
-    (lambda a, b, c: a / b / c, "a / b / c")])
+@pytest.mark.parametrize(
+    "figure, expr",
+    [
+        (lambda a, b, c: (a + b) / c, "(a + b) / c"),
+        (lambda a, b, c: a + b / c, "a + b / c"),
+        (lambda a, b, c: a / (b * c), "a / (b * c)"),
+        (lambda a, b, c: a - (b - c), "a - (b - c)"),
+        (lambda a, b, c: a / b / c, "a / b / c"),
+    ],
+)
 def test_expressions_say_what_was_worked_out(figure, expr):
     made = figure(*(Figure(number, name, "target") for name, number in (("a", 7.0), ("b", 3.0), ("c", 2.0))))
     assert made.expr == expr
     assert made.value == pytest.approx(eval(expr, {"a": 7.0, "b": 3.0, "c": 2.0}))
 
 
-@pytest.mark.parametrize("number, text", [
-    (0.0, "0"), (0.0123456, "0.0123"), (1.5, "1.50"), (119.05, "119"), (9333.3, "9,330"),
-    (117_600_000, "118,000,000"), (0.0000001234, "0.00000012"), (99.99, "100"), (-4.2, "-4.20")])
+@pytest.mark.parametrize(
+    "number, text",
+    [
+        (0.0, "0"),
+        (0.0123456, "0.0123"),
+        (1.5, "1.50"),
+        (119.05, "119"),
+        (9333.3, "9,330"),
+        (117_600_000, "118,000,000"),
+        (0.0000001234, "0.00000012"),
+        (99.99, "100"),
+        (-4.2, "-4.20"),
+    ],
+)
 def test_digits(number, text):
     assert cells.digits(number) == text
 
@@ -419,9 +503,21 @@
     assert over[0][0].strip().startswith("gateway with the whole list") and "built here" in over[0][4]
 
 
-SMALL = {"gateways": 40, "hosts": 100, "services": 10, "requests_s": 400, "routes": 20, "tenants": 1000,
-         "changes_a_day": 24, "restarted_a_day": 10, "failed_a_day": 1, "rack_hosts": 4, "budgets": 100,
-         "control_kb_s": 20, "view_hosts": 100}
+SMALL = {
+    "gateways": 40,
+    "hosts": 100,
+    "services": 10,
+    "requests_s": 400,
+    "routes": 20,
+    "tenants": 1000,
+    "changes_a_day": 24,
+    "restarted_a_day": 10,
+    "failed_a_day": 1,
+    "rack_hosts": 4,
+    "budgets": 100,
+    "control_kb_s": 20,
+    "view_hosts": 100,
+}
 
 
 def other_target(path, figures):
@@ -435,8 +531,11 @@
 
 def ranked(text):
     section = text.split("## What is missing first")[1].split("Built in this work")[0]
-    return [[cell.strip() for cell in line.strip("|").split(" | ")] for line in section.splitlines()
-            if line.startswith("| ")][2:]
+    return [
+        [cell.strip() for cell in line.strip("|").split(" | ")]
+        for line in section.splitlines()
+        if line.startswith("| ")
+    ][2:]
 
 
 def test_a_small_fleet_passes_no_limit(folder, tmp_path):
@@ -453,15 +552,21 @@
 def test_a_fleet_ten_times_as_large_is_ranked_anew(folder, tmp_path):
     """Ten times of all that grows; what a run did not measure is taken by its fit, or not known."""
     target = cells.read_target(TARGET)
-    tenfold = {name: 10 * figure for name, figure in target["fleet"].items()
-               if name not in ("regions", "zones")}
+    tenfold = {
+        name: 10 * figure for name, figure in target["fleet"].items() if name not in ("regions", "zones")
+    }
     text, book = page.page(other_target(tmp_path / "large.toml", tenfold), folder)
-    before = {(name, row.what): row.ratio for rows in [tables.rows(page.made(target, book.runs))]
-              for name in rows for row in rows[name]}
+    before = {
+        (name, row.what): row.ratio
+        for rows in [tables.rows(page.made(target, book.runs))]
+        for name in rows
+        for row in rows[name]
+    }
     over = page.over_limit(book)
     assert len(over) > len(page.over_limit(page.made(target, book.runs)))
     assert [tables.BREAKS.index(row.breaks) for _, row, _ in over] == sorted(
-        tables.BREAKS.index(row.breaks) for _, row, _ in over)
+        tables.BREAKS.index(row.breaks) for _, row, _ in over
+    )
     first = over[0]
     assert first[0] == "gateway-before" and first[1].breaks == tables.GATEWAY
     assert first[2].kind == EXTRAPOLATED  # past the hosts that were measured, by a fit that held its trial
@@ -477,8 +582,9 @@
 def fixed(monkeypatch, **constants):
     """Constants of the code as they are told here, whatever they are there."""
     true = cells.constant
-    monkeypatch.setattr(cells, "constant", lambda module, name: float(constants.get(name, 0)) or true(module,
-                                                                                                     name))
+    monkeypatch.setattr(
+        cells, "constant", lambda module, name: float(constants.get(name, 0)) or true(module, name)
+    )
 
 
 def test_the_order_follows_the_target(folder, tmp_path, monkeypatch):
@@ -500,10 +606,10 @@
     text, _ = page.page(TARGET, folder)
     lines = ranked(text)
     short = text.split("## In short")[1].split("## The target")[0]
-    was = f"**What was missing first**: \"{lines[0][1]}\" of the {lines[0][0]}: {lines[0][3]} times its limit"
+    was = f'**What was missing first**: "{lines[0][1]}" of the {lines[0][0]}: {lines[0][3]} times its limit'
     assert was in short and f"where {lines[0][2]}." in short
     still = next(line for line in lines if line[4].startswith("open"))
-    now = f"**What is missing first now**: \"{still[1]}\" of the {still[0]}: {still[3]} times its limit"
+    now = f'**What is missing first now**: "{still[1]}" of the {still[0]}: {still[3]} times its limit'
     assert now in short and f"where {still[2]}." in short
 
 
@@ -519,9 +625,14 @@
         assert ("does not hold" in told) == (figure.value > limit.value), asked.what
         if asked.figure in page.SUMS:
             continue
-        same = [row for rows in tables.rows(book).values() for row in rows
-                if row.limit and row.limit.expr == limit.expr and any(
-                    one is not None and one.expr == figure.expr for one in (row.rest, row.worst))]
+        same = [
+            row
+            for rows in tables.rows(book).values()
+            for row in rows
+            if row.limit
+            and row.limit.expr == limit.expr
+            and any(one is not None and one.expr == figure.expr for one in (row.rest, row.worst))
+        ]
         assert same, asked.what
         if "does not hold" in told:
             assert any(row in [over for _, over, _ in page.over_limit(book)] for row in same), asked.what
@@ -539,8 +650,9 @@
     text, _ = page.page(TARGET, folder)
     told = [row(text, asked.what, 3) for asked in page.ASKED]
     section = text.split("## In short")[1].split("## The target")[0]
-    shown = [line.strip("|").split(" | ")[3].strip() for line in section.splitlines()
-             if line.startswith("| ")][2:]
+    shown = [
+        line.strip("|").split(" | ")[3].strip() for line in section.splitlines() if line.startswith("| ")
+    ][2:]
     assert shown == sorted(told, key=page.VERDICTS.index) and len(set(shown)) > 2
 
 
@@ -567,20 +679,51 @@
 # Constants that bound a number of things, and are no bounds on a fleet: on one connection, line, value or
 # caller, times, weights, or what a configuration sets.
 NO_BOUND_ON_A_FLEET = {
-    "net.counter.MOST_LINE", "net.clients.MOST_PENDING", "net.clients.OVER_MOST", "net.resp.MOST_PARTS",
-    "net.resp.MOST_LINE", "net.resp.MOST_LARGE", "net.resp.MOST_DIGITS", "net.gateway.MOST_LEFT",
-    "net.gateway.MOST_CUSTOMER", "net.gateway.MOST_HELD", "net.clients.MOST_COMMAND", "net.hosts.MOST_REPLY",
-    "net.control.MOST_CALLERS", "net.control.MOST_ENDING", "net.keys.MOST_DEPTH",
-    "net.keys.MOST_TOLD", "net.keys.MOST_TEXT", "membership.service.MOST_WORD",
-    "membership.core.MOST_RUMOURS", "membership.core.MOST_BYTES", "membership.core.MOST_META",
-    "membership.core.MOST_ACCUSERS", "registry.service.MOST_BODY", "base.listing.MOST_VALUE",
-    "base.views.WORD_MOST", "net.changes.MOST_VERSIONS",
-    "net.counter.BACKOFF_MOST", "net.discovery.GRACE_MOST", "net.discovery.BACKOFF_MOST",
-    "net.changes.CONFIRM_MOST", "policy.accounts.BACKOFF_MOST", "policy.work.IDLE_MOST",
-    "policy.work.RETRY_MOST", "policy.quota.UNHEARD_MOST", "policy.quota.SAMPLE_MOST",
-    "policy.fleet.DOUBT_MOST", "policy.fleet.LOOK_MOST", "membership.core.SUSPECT_MOST",
-    "membership.core.LONGER_MOST", "membership.core.DOUBT_MOST", "membership.core.DEAF_MOST",
-    "registry.core.WAIT_MOST", "registry.core.TTL_MOST", "registry.core.LOOK_MOST"}
+    "net.counter.MOST_LINE",
+    "net.clients.MOST_PENDING",
+    "net.clients.OVER_MOST",
+    "net.resp.MOST_PARTS",
+    "net.resp.MOST_LINE",
+    "net.resp.MOST_LARGE",
+    "net.resp.MOST_DIGITS",
+    "net.gateway.MOST_LEFT",
+    "net.gateway.MOST_CUSTOMER",
+    "net.gateway.MOST_HELD",
+    "net.clients.MOST_COMMAND",
+    "net.hosts.MOST_REPLY",
+    "net.control.MOST_CALLERS",
+    "net.control.MOST_ENDING",
+    "net.keys.MOST_DEPTH",
+    "net.keys.MOST_TOLD",
+    "net.keys.MOST_TEXT",
+    "membership.service.MOST_WORD",
+    "membership.core.MOST_RUMOURS",
+    "membership.core.MOST_BYTES",
+    "membership.core.MOST_META",
+    "membership.core.MOST_ACCUSERS",
+    "registry.service.MOST_BODY",
+    "base.listing.MOST_VALUE",
+    "base.views.WORD_MOST",
+    "net.changes.MOST_VERSIONS",
+    "net.counter.BACKOFF_MOST",
+    "net.discovery.GRACE_MOST",
+    "net.discovery.BACKOFF_MOST",
+    "net.changes.CONFIRM_MOST",
+    "policy.accounts.BACKOFF_MOST",
+    "policy.work.IDLE_MOST",
+    "policy.work.RETRY_MOST",
+    "policy.quota.UNHEARD_MOST",
+    "policy.quota.SAMPLE_MOST",
+    "policy.fleet.DOUBT_MOST",
+    "policy.fleet.LOOK_MOST",
+    "membership.core.SUSPECT_MOST",
+    "membership.core.LONGER_MOST",
+    "membership.core.DOUBT_MOST",
+    "membership.core.DEAF_MOST",
+    "registry.core.WAIT_MOST",
+    "registry.core.TTL_MOST",
+    "registry.core.LOOK_MOST",
+}
 
 
 def test_each_bound_in_the_code_is_in_the_table_or_is_none_on_a_fleet():
@@ -590,43 +733,102 @@
         for path in sorted((ROOT / "calicomast" / part).glob("*.py")):
             for line in path.read_text().splitlines():
                 if names := re.match(r"([A-Z][A-Z_, ]*[A-Z]) = ", line):
-                    found |= {f"{part}.{path.stem}.{name}" for name in names[1].split(", ")
-                              if name.startswith("MOST_") or name.endswith("_MOST") or name == "WATCHERS"}
+                    found |= {
+                        f"{part}.{path.stem}.{name}"
+                        for name in names[1].split(", ")
+                        if name.startswith("MOST_") or name.endswith("_MOST") or name == "WATCHERS"
+                    }
     listed = {row.limit.expr for row in every_row() if row.limit is not None and row.limit.kind == cells.CODE}
     assert found - listed - NO_BOUND_ON_A_FLEET == set()
     assert found >= NO_BOUND_ON_A_FLEET and not listed & NO_BOUND_ON_A_FLEET
 
 
-@pytest.mark.parametrize("role, axis, figures, names", [
-    ("membership", "gateways", ("cpu_share", "rss_mb", "bytes_in_s", "bytes_out_s", "messages_s"),
-     ("membership_cpu_share", "membership_rss_mb", "membership_kb_s", "membership_messages_s")),
-    ("membership", "gateways", ("start_bytes_out_s_most", "start_known_s", "start_rest_s"),
-     ("membership_start_kb_s", "membership_start_known_s", "membership_start_rest_s")),
-    ("grantor", "gateways", ("cpu_share", "rss_mb", "bytes_in_s", "bytes_out_s", "messages_s",
-                             "holder_cpu_share", "holder_mb"),
-     ("grantor_cpu_share", "grantor_rss_mb", "holder_kb_s", "exchange_bytes")),
-    ("counter", "requests", ("cpu_share", "rss_mb", "calls_a_request"),
-     ("counter_cpu_share", "counter_rss_mb", "counts", "counts_of_all")),
-    ("counter", "customers", ("calls_s_most",), ("rush_calls_s", "rush_calls_of_all_s")),
-    ("gateway", "requests", ("connects_s", "connects_s_most", "connections", "connections_a_host_most",
-                             "hosts_used"),
-     ("connects_a_host", "connects_a_host_at_a_start", "connections_at_a_host", "connections_of_a_pair",
-      "connections_at_a_host_at_most", "gateways_of_a_host")),
-    ("gateway", "hosts", ("probes_s", "probes_s_most"), ("probes_a_host", "probes_most_a_host")),
-    ("gateway", "kinds", ("kept_mb", "kept_idle_mb", "cpu_ms_a_request"), ("kept_mb_by_kinds",)),
-    ("gateway", "cells", ("kept_mb", "kept_idle_mb", "cpu_ms_a_request"), ("request_ms_by_cells",)),
-    ("list-service", "hosts", ("cpu_ms_a_renewal",), ("renewal_cores",)),
-    *(("list-service", f"event:{event}",
-       ("bytes_a_gateway", "bytes_a_gateway_most", "last_s", "refused", "hosts_up"),
-       (f"{event}_view_kb", f"{event}_view_last_s", f"{event}_view_refused", f"{event}_view_hosts_up"))
-      for event in ("apart", "healed", "lost", "back")),
-    ("distribution", "classes", ("config_bytes",), ("config_bytes_by_classes",))])
+@pytest.mark.parametrize(
+    "role, axis, figures, names",
+    [
+        (
+            "membership",
+            "gateways",
+            ("cpu_share", "rss_mb", "bytes_in_s", "bytes_out_s", "messages_s"),
+            ("membership_cpu_share", "membership_rss_mb", "membership_kb_s", "membership_messages_s"),
+        ),
+        (
+            "membership",
+            "gateways",
+            ("start_bytes_out_s_most", "start_known_s", "start_rest_s"),
+            ("membership_start_kb_s", "membership_start_known_s", "membership_start_rest_s"),
+        ),
+        (
+            "grantor",
+            "gateways",
+            (
+                "cpu_share",
+                "rss_mb",
+                "bytes_in_s",
+                "bytes_out_s",
+                "messages_s",
+                "holder_cpu_share",
+                "holder_mb",
+            ),
+            ("grantor_cpu_share", "grantor_rss_mb", "holder_kb_s", "exchange_bytes"),
+        ),
+        (
+            "counter",
+            "requests",
+            ("cpu_share", "rss_mb", "calls_a_request"),
+            ("counter_cpu_share", "counter_rss_mb", "counts", "counts_of_all"),
+        ),
+        ("counter", "customers", ("calls_s_most",), ("rush_calls_s", "rush_calls_of_all_s")),
+        (
+            "gateway",
+            "requests",
+            ("connects_s", "connects_s_most", "connections", "connections_a_host_most", "hosts_used"),
+            (
+                "connects_a_host",
+                "connects_a_host_at_a_start",
+                "connections_at_a_host",
+                "connections_of_a_pair",
+                "connections_at_a_host_at_most",
+                "gateways_of_a_host",
+            ),
+        ),
+        ("gateway", "hosts", ("probes_s", "probes_s_most"), ("probes_a_host", "probes_most_a_host")),
+        ("gateway", "kinds", ("kept_mb", "kept_idle_mb", "cpu_ms_a_request"), ("kept_mb_by_kinds",)),
+        ("gateway", "cells", ("kept_mb", "kept_idle_mb", "cpu_ms_a_request"), ("request_ms_by_cells",)),
+        ("list-service", "hosts", ("cpu_ms_a_renewal",), ("renewal_cores",)),
+        *(
+            (
+                "list-service",
+                f"event:{event}",
+                ("bytes_a_gateway", "bytes_a_gateway_most", "last_s", "refused", "hosts_up"),
+                (
+                    f"{event}_view_kb",
+                    f"{event}_view_last_s",
+                    f"{event}_view_refused",
+                    f"{event}_view_hosts_up",
+                ),
+            )
+            for event in ("apart", "healed", "lost", "back")
+        ),
+        ("distribution", "classes", ("config_bytes",), ("config_bytes_by_classes",)),
+    ],
+)
 def test_a_stored_run_fills_its_cells(tmp_path, role, axis, figures, names):
     """With no further edit, and each of its figures is shown with its mark."""
     sizes = (100, 300, 1000, 3000, 10_000, 56_000, 119_048, 500_000)
     points = {n: [dict.fromkeys(figures, 4.0 + 0.001 * n)] * 3 for n in sizes}
-    store(tmp_path, made_up("gateway-some" if role == "gateway" else "some", points, role, axis,
-                            "view of 480", "abcdef012345", held={"budgets": 5, "hosts": 1000}))
+    store(
+        tmp_path,
+        made_up(
+            "gateway-some" if role == "gateway" else "some",
+            points,
+            role,
+            axis,
+            "view of 480",
+            "abcdef012345",
+            held={"budgets": 5, "hosts": 1000},
+        ),
+    )
     text, book = page.page(TARGET, tmp_path)
     for name in names:
         assert book[name].value is not None, name
@@ -657,8 +859,9 @@
 
 def test_sums_say_at_least_where_parts_are_not_measured(folder):
     text, book = page.page(TARGET, folder)
-    assert ("| **all** | at least 0.0101 cores (D1) | at least 27.5 MB (M1) | at least 0.0721 KB/s (D1) |"
-            in text)
+    assert (
+        "| **all** | at least 0.0101 cores (D1) | at least 27.5 MB (M1) | at least 0.0721 KB/s (D1) |" in text
+    )
     assert "| **all** | at least 4.00 machines (A) | not measured | not measured | not measured |" in text
     assert "| 0.0101 cores (D1), 25.8 % | 27.5 MB (M1), 43.0 % | 0.0721 KB/s (D1), 1.20 % |" in text
     # No change of the view's run lay in its view; one that does costs what it costs with the whole list.
@@ -693,8 +896,11 @@
 
 def test_another_target_gives_another_page(folder, tmp_path):
     other = tmp_path / "other.toml"
-    other.write_text(TARGET.read_text().replace("\nhosts = 56000\n", "\nhosts = 10000\n")
-                     .replace("requests_s = 500000 ", "requests_s = 84000 "))
+    other.write_text(
+        TARGET.read_text()
+        .replace("\nhosts = 56000\n", "\nhosts = 10000\n")
+        .replace("requests_s = 500000 ", "requests_s = 84000 ")
+    )
     out = tmp_path / "CAPACITY.md"
     assert page.main(["--target", str(other), "--runs", str(folder), "--out", str(out)]) == 0
     text = out.read_text()
@@ -707,12 +913,17 @@
     assert plots.main(["--runs", str(folder), "--out", str(tmp_path / "plots")]) == 0
     made = sorted((tmp_path / "plots").glob("*.png"))
     assert {path.stem for path in made} == {
-        "gateway-by-hosts", "gateway-by-hosts-view", "module-by-hosts-before", "module-by-hosts-view"}
+        "gateway-by-hosts",
+        "gateway-by-hosts-view",
+        "module-by-hosts-before",
+        "module-by-hosts-view",
+    }
     assert all(0 < path.stat().st_size < 100_000 for path in made)
 
 
-@pytest.mark.parametrize("old, new", [("hosts = 56000", "hosts = 0"), ("hosts = 56000", "hosts = true"),
-                                      ("[events]", "[other]")])
+@pytest.mark.parametrize(
+    "old, new", [("hosts = 56000", "hosts = 0"), ("hosts = 56000", "hosts = true"), ("[events]", "[other]")]
+)
 def test_a_target_that_says_nothing_is_refused(tmp_path, old, new):
     path = tmp_path / "target.toml"
     path.write_text(TARGET.read_text().replace(old, new, 1))
@@ -734,16 +945,31 @@
 
 
 def test_what_an_event_tells_a_gateway_stands_against_its_limit(folder):
-    points = {n: [{"messages_a_gateway": 2.0, "bytes_a_gateway": 9000.0,
-                   "bytes_a_gateway_most": 12_000.0, "bytes_in_s_most": 8000.0,
-                   "service_bytes_out_s_most": 5000.0 * n, "last_s": 20.0}]
-              for n in (525, 1050, 2100, 4200)}
-    store(folder, made_up("event-zone", points, "list-service", "event:zone", variant="view of 480",
-                          build="abcdef012345"))
+    points = {
+        n: [
+            {
+                "messages_a_gateway": 2.0,
+                "bytes_a_gateway": 9000.0,
+                "bytes_a_gateway_most": 12_000.0,
+                "bytes_in_s_most": 8000.0,
+                "service_bytes_out_s_most": 5000.0 * n,
+                "last_s": 20.0,
+            }
+        ]
+        for n in (525, 1050, 2100, 4200)
+    }
+    store(
+        folder,
+        made_up(
+            "event-zone", points, "list-service", "event:zone", variant="view of 480", build="abcdef012345"
+        ),
+    )
     text, book = page.page(TARGET, folder)
     line = next(line for line in text.splitlines() if line.startswith("| a zone goes | a view | "))
-    assert line == ("| a zone goes | a view | 2.00 messages (M1) | 9.00 KB (D1) | 12.0 KB (D1) | "
-                    "**8.00 KB (D1)** | 2.00 s (D1) | 20.0 s (M1) | 21,000 KB (D1) |")
+    assert line == (
+        "| a zone goes | a view | 2.00 messages (M1) | 9.00 KB (D1) | 12.0 KB (D1) | "
+        "**8.00 KB (D1)** | 2.00 s (D1) | 20.0 s (M1) | 21,000 KB (D1) |"
+    )
     assert "bytes in: the list, in the worst second | `zone_view_second_kb`" in text
     assert page.untraced(text, book) == []
 
@@ -757,13 +983,25 @@
 
 def test_the_list_service_is_taken_by_telling(folder):
     """A run at few hosts concerns more gateways by each change than the target's does."""
-    points = {n: [{"cpu_ms_a_change": 0.01 * n, "cpu_share_rest": 0.0001 * n}]
-              for n in (50, 100, 200, 400, 800)}
+    points = {
+        n: [{"cpu_ms_a_change": 0.01 * n, "cpu_share_rest": 0.0001 * n}] for n in (50, 100, 200, 400, 800)
+    }
     more = {"variant": "view of 480", "build": "abcdef012345"}
-    store(folder, made_up("service-by-gateways", points, "list-service", "gateways", held={"hosts": 1000},
-                          **more))
-    store(folder, made_up("service-by-hosts", {n: [{"cpu_ms_a_change": 2.0}] for n in (1000, 56000)},
-                          "list-service", "hosts", held={"gateways": 200}, **more))
+    store(
+        folder,
+        made_up("service-by-gateways", points, "list-service", "gateways", held={"hosts": 1000}, **more),
+    )
+    store(
+        folder,
+        made_up(
+            "service-by-hosts",
+            {n: [{"cpu_ms_a_change": 2.0}] for n in (1000, 56000)},
+            "list-service",
+            "hosts",
+            held={"gateways": 200},
+            **more,
+        ),
+    )
     text, book = page.page(TARGET, folder)
     tellings = 4200 * 480 / 1000
     assert book["registry_change_ms"].value == pytest.approx(2.0 + 36 * (0.01 * 4200 / tellings))
--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -26,13 +26,19 @@
 
 
 def scale(*args):
-    done = subprocess.run([sys.executable, "-m", "calicomast.lab.scale", *args], cwd=ROOT, text=True,
-                          capture_output=True, timeout=PATIENCE)
+    done = subprocess.run(
+        [sys.executable, "-m", "calicomast.lab.scale", *args],
+        cwd=ROOT,
+        text=True,
+        capture_output=True,
+        timeout=PATIENCE,
+    )
     return done.returncode, done.stdout.splitlines(), done.stderr
 
 
 def played(hosts, gateways, view, folder, real=1):
     """What hollow and real gateways heard of the same changes, and the processes that were started."""
+
     async def play():
         async with asyncio.timeout(PATIENCE):
             rig = Rig(folder, hosts, more={"view": {"size": view}} if view else {})
@@ -51,8 +57,10 @@
 
 
 def heard(before, after):
-    return {side: [(b[0] - a[0], b[1] - a[1]) for a, b in zip(before[side], after[side], strict=True)]
-            for side in after}
+    return {
+        side: [(b[0] - a[0], b[1] - a[1]) for a, b in zip(before[side], after[side], strict=True)]
+        for side in after
+    }
 
 
 @pytest.fixture(scope="module")
@@ -76,8 +84,20 @@
 
 
 def test_all_that_a_run_started_ends_also_when_it_is_killed(tmp_path):
-    run = subprocess.Popen([sys.executable, "-m", "calicomast.lab.scale", "service-by-gateways", "--sizes",
-                            "10", "--out", str(tmp_path)], cwd=ROOT, stdout=subprocess.DEVNULL)
+    run = subprocess.Popen(
+        [
+            sys.executable,
+            "-m",
+            "calicomast.lab.scale",
+            "service-by-gateways",
+            "--sizes",
+            "10",
+            "--out",
+            str(tmp_path),
+        ],
+        cwd=ROOT,
+        stdout=subprocess.DEVNULL,
+    )
     numbers, end = [], time.monotonic() + PATIENCE
     while len(numbers) < 6 and time.monotonic() < end:
         numbers = machine.family(run.pid)[1:]
@@ -108,8 +128,12 @@
     driver = Driver(Case(**case))
     driver.begin()
     driver.steps(4.0)
-    return {"asked": len(driver.spent["request"]), "sends": driver.sent, "counts": driver.counts,
-            "known": len(driver.gateway.fleet.servers)}
+    return {
+        "asked": len(driver.spent["request"]),
+        "sends": driver.sent,
+        "counts": driver.counts,
+        "known": len(driver.gateway.fleet.servers),
+    }
 
 
 def test_counted_work_of_the_module_grows_as_it_should():
@@ -179,8 +203,9 @@
     played anew."""
     for _ in range(PLAYS):
         _, compared = uvloop.run(processes.rack(4, 150, view, 1.0))
-        entries, answers, size = (compared[name] for name in ("entries_a_gateway", "messages_a_gateway",
-                                                              "bytes_a_gateway"))
+        entries, answers, size = (
+            compared[name] for name in ("entries_a_gateway", "messages_a_gateway", "bytes_a_gateway")
+        )
         assert answers.hollow <= answers.real <= 2 * answers.hollow
         assert entries.real >= entries.hollow > 0 and (view or entries.real == 40)
         if not answers.off:
@@ -214,8 +239,12 @@
 
 def test_a_connection_that_has_not_settled_or_rested_too_long_is_not_taken():
     driver = connects.Connecting(Case(hosts=1, gateways=1))
-    for rested, taken in ((connects.SETTLED / 2, False), (connects.SETTLED * 2, True),
-                          (connects.IDLE_TIME - 1, True), (connects.IDLE_TIME + 1, False)):
+    for rested, taken in (
+        (connects.SETTLED / 2, False),
+        (connects.SETTLED * 2, True),
+        (connects.IDLE_TIME - 1, True),
+        (connects.IDLE_TIME + 1, False),
+    ):
         driver.idle["h"], driver.open["h"] = [driver.now - rested], 1
         before = driver.connects.total()
         driver.take("h")
@@ -249,13 +278,16 @@
 
 
 def test_a_run_past_the_bounds_is_refused_before_anything_starts(tmp_path):
-    status, lines, _ = scale("service-by-hosts", "--sizes", "56000", "--held", "gateways=4200", "--out",
-                             str(tmp_path))
+    status, lines, _ = scale(
+        "service-by-hosts", "--sizes", "56000", "--held", "gateways=4200", "--out", str(tmp_path)
+    )
     assert status == 1 and len(lines) == 1 and lines[0].startswith("refused: about ")
     assert "MB of memory are needed, 12000 are the most" in lines[0]
     assert not list(tmp_path.iterdir())
-    for estimate in (machine.Estimate(1.0, machine.MOST_PROCESSES + 1, 1.0),
-                     machine.Estimate(1.0, 1, machine.MOST_SECONDS + 1)):
+    for estimate in (
+        machine.Estimate(1.0, machine.MOST_PROCESSES + 1, 1.0),
+        machine.Estimate(1.0, 1, machine.MOST_SECONDS + 1),
+    ):
         with pytest.raises(machine.OutOfBounds):
             estimate.check()
     machine.Estimate(machine.MOST_MB, machine.MOST_PROCESSES, machine.MOST_SECONDS).check()
@@ -287,9 +319,16 @@
             machine.within_bounds(began - 1.0)
 
 
-@pytest.mark.parametrize("args", [["nonsense"], [], ["module-by-hosts", "--sizes", "many"],
-                                  ["module-by-hosts", "--held", "hosts"],
-                                  ["module-by-hosts", "--held", "moons=3"]])
+@pytest.mark.parametrize(
+    "args",
+    [
+        ["nonsense"],
+        [],
+        ["module-by-hosts", "--sizes", "many"],
+        ["module-by-hosts", "--held", "hosts"],
+        ["module-by-hosts", "--held", "moons=3"],
+    ],
+)
 def test_a_wrong_argument_is_status_2(args, tmp_path):
     status, lines, err = scale(*args, *(["--out", str(tmp_path)] if args else []))
     assert status == 2 and not lines and "error: " in err.splitlines()[-1]
@@ -297,8 +336,17 @@
 
 def test_a_run_is_stored_in_pieces_and_says_where_it_comes_from(tmp_path):
     for sizes, repeat in ((["20", "40"], "0"), (["40"], "1")):
-        status, lines, err = scale("module-by-hosts", "--sizes", *sizes, "--repeats", repeat,
-                                   "--seconds", "0.3", "--out", str(tmp_path))
+        status, lines, err = scale(
+            "module-by-hosts",
+            "--sizes",
+            *sizes,
+            "--repeats",
+            repeat,
+            "--seconds",
+            "0.3",
+            "--out",
+            str(tmp_path),
+        )
         assert status == 0, err
     assert len(lines) == 2 and lines[-1].startswith("module-by-hosts.json: 3 points")
     told = json.loads((tmp_path / "module-by-hosts.json").read_text())
@@ -346,7 +394,8 @@
     (tree / "deploy" / "balancer.toml").write_text('run = "exec .venv/bin/python -B -m calicomast.other"\n')
     (tree / "calicomast" / "__init__.py").touch()
     (tree / "calicomast" / "other" / "__main__.py").write_text(
-        "import calicomast\nraise SystemExit(f'of {calicomast.__file__}')\n")
+        "import calicomast\nraise SystemExit(f'of {calicomast.__file__}')\n"
+    )
 
     async def play():
         async with asyncio.timeout(PATIENCE), Rig(folder, 200, tree=tree) as rig:
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -27,9 +27,17 @@
     return line + (await reader.readexactly(len(VALUE) - 4) if line[:1] == b"*" else b"")
 
 
-@pytest.mark.parametrize("faults, answer", [
-    ({}, VALUE), ({"busy": 1.0}, BUSY), ({"error": 1.0}, FAILED), ({"reset": 1.0}, b""),
-    ({"silent": 1.0}, TimeoutError), ({"delay": 5.0}, TimeoutError)])
+@pytest.mark.parametrize(
+    "faults, answer",
+    [
+        ({}, VALUE),
+        ({"busy": 1.0}, BUSY),
+        ({"error": 1.0}, FAILED),
+        ({"reset": 1.0}, b""),
+        ({"silent": 1.0}, TimeoutError),
+        ({"delay": 5.0}, TimeoutError),
+    ],
+)
 @on_loop
 async def test_a_host_does_what_its_faults_say(faults, answer):
     async with WorkingHost(work=0.001) as host:
@@ -37,7 +45,12 @@
         port = await calls.open("127.0.0.1", 0)
         query = "&".join(f"{name}={value}" for name, value in faults.items())
         assert (await call(port, f"POST /faults?{query}"))[1]["faults"] == {
-            "delay": 0.0, "silent": 0.0, "busy": 0.0, "error": 0.0, "reset": 0.0} | faults
+            "delay": 0.0,
+            "silent": 0.0,
+            "busy": 0.0,
+            "error": 0.0,
+            "reset": 0.0,
+        } | faults
         asking = asked(*await asyncio.open_connection("127.0.0.1", host.port), command())
         if answer is TimeoutError:
             with pytest.raises(TimeoutError):
@@ -47,8 +60,15 @@
         await calls.close()
 
 
-@pytest.mark.parametrize("query, why", [("silent=2", "from 0 to 1"), ("delay=soon", "from 0 to 3600"),
-                                        ("delay=nan", "from 0"), ("broken=1", "there are busy, delay")])
+@pytest.mark.parametrize(
+    "query, why",
+    [
+        ("silent=2", "from 0 to 1"),
+        ("delay=soon", "from 0 to 3600"),
+        ("delay=nan", "from 0"),
+        ("broken=1", "there are busy, delay"),
+    ],
+)
 @on_loop
 async def test_a_fault_that_there_is_not_changes_nothing(query, why):
     async with Counter() as counter:
--- a/tests/test_view_cases.py
+++ b/tests/test_view_cases.py
@@ -31,6 +31,7 @@
 
 # Gateways that disagree on how many there are
 
+
 def restarted(some, number):
     """Numbers of all, where these have been restarted with another."""
     return [number(n) if n in some else n for n in range(GATEWAYS)]
@@ -38,20 +39,29 @@
 
 def numbers(case, rng):
     tenth, half = (set(rng.sample(range(GATEWAYS), GATEWAYS // part)) for part in (10, 2))
-    return {"agreed": list(range(GATEWAYS)),
-            "a tenth away": [n for n in range(GATEWAYS) if n not in tenth],
-            "a tenth counted on": restarted(tenth, lambda n: GATEWAYS + n),
-            "a tenth drawn anew": restarted(tenth, lambda n: rng.randrange(GATEWAYS)),
-            "all, half of them counted backwards so far": restarted(half, lambda n: GATEWAYS - 1 - n),
-            "all, each drawn anew": restarted(range(GATEWAYS), lambda n: rng.randrange(GATEWAYS)),
-            "all, each number twice": [n // 2 for n in range(GATEWAYS)]}[case]
-
-
-@pytest.mark.parametrize("case, least, most", [
-    ("agreed", 0.4, 1.7), ("a tenth away", 0.2, 2.1), ("a tenth counted on", 0.3, 2.1),
-    ("a tenth drawn anew", 0.3, 2.2), ("all, half of them counted backwards so far", 0.1, 2.3),
-    ("all, each drawn anew", 0.0, 2.8), ("all, each number twice", 0.4, 1.8),
-])
+    return {
+        "agreed": list(range(GATEWAYS)),
+        "a tenth away": [n for n in range(GATEWAYS) if n not in tenth],
+        "a tenth counted on": restarted(tenth, lambda n: GATEWAYS + n),
+        "a tenth drawn anew": restarted(tenth, lambda n: rng.randrange(GATEWAYS)),
+        "all, half of them counted backwards so far": restarted(half, lambda n: GATEWAYS - 1 - n),
+        "all, each drawn anew": restarted(range(GATEWAYS), lambda n: rng.randrange(GATEWAYS)),
+        "all, each number twice": [n // 2 for n in range(GATEWAYS)],
+    }[case]
+
+
+@pytest.mark.parametrize(
+    "case, least, most",
+    [
+        ("agreed", 0.4, 1.7),
+        ("a tenth away", 0.2, 2.1),
+        ("a tenth counted on", 0.3, 2.1),
+        ("a tenth drawn anew", 0.3, 2.2),
+        ("all, half of them counted backwards so far", 0.1, 2.3),
+        ("all, each drawn anew", 0.0, 2.8),
+        ("all, each number twice", 0.4, 1.8),
+    ],
+)
 def test_how_many_views_a_host_is_in_at_worst_where_numbers_are_not_agreed(case, least, most):
     """Of the mean. What others hold for their number, or how many they think there are, moves no view."""
     rings = rings_of(5600)
@@ -74,9 +84,9 @@
     ring = sorted(hosts_, key=lambda h: policy.stable_hash(h.id, "place"))
     places = [policy.stable_hash(h.id, "place") for h in ring]
     for n, gateways in enumerate(groups):
-        at = sum(place < int(n * GOLDEN % 1.0 * 2 ** 63) for place in places)
+        at = sum(place < int(n * GOLDEN % 1.0 * 2**63) for place in places)
         w = World(settings(plans=[BIG], gateways=gateways, index=n), [], seed=n + 1)
-        w.do(api.HostList("full", 1, tuple((ring + ring)[at:at + view]), total))
+        w.do(api.HostList("full", 1, tuple((ring + ring)[at : at + view]), total))
         w.ask()
         used.update(s.host.id for s in w.gw.fleet.own)
     return [used[h.id] for h in hosts_]
@@ -102,19 +112,43 @@
 
 def services(port=1):
     """One with 4,000 hosts, one with one."""
-    return [{"id": f"m-{n}", "addr": f"127.0.0.1:{port}", "zone": "abc"[n % 3], "kind": "many", "cell": 0,
-             "state": "up", "weight": 1.0, "started_ms": 0} for n in range(MANY)] + [
-        {"id": "only", "addr": f"127.0.0.1:{port}", "zone": "b", "kind": "one", "cell": 0, "state": "up",
-         "weight": 1.0, "started_ms": 0}]
+    return [
+        {
+            "id": f"m-{n}",
+            "addr": f"127.0.0.1:{port}",
+            "zone": "abc"[n % 3],
+            "kind": "many",
+            "cell": 0,
+            "state": "up",
+            "weight": 1.0,
+            "started_ms": 0,
+        }
+        for n in range(MANY)
+    ] + [
+        {
+            "id": "only",
+            "addr": f"127.0.0.1:{port}",
+            "zone": "b",
+            "kind": "one",
+            "cell": 0,
+            "state": "up",
+            "weight": 1.0,
+            "started_ms": 0,
+        }
+    ]
 
 
 @pytest.mark.parametrize("knows", [False, True])
-@pytest.mark.parametrize("kinds, held", [(["none"], 0), (["one"], 1), (["many"], 12),
-                                         (["many", "none", "one"], 7)])
+@pytest.mark.parametrize(
+    "kinds, held", [(["none"], 0), (["one"], 1), (["many"], 12), (["many", "none", "one"], 7)]
+)
 @on_loop
 async def test_a_service_with_one_host_with_none_and_with_thousands(kinds, held, knows, tmp_path):
-    async with StubHost() as stub, Serving(tmp_path, services(stub.port)) as serving, \
-            Lists(services(stub.port)) as lists:
+    async with (
+        StubHost() as stub,
+        Serving(tmp_path, services(stub.port)) as serving,
+        Lists(services(stub.port)) as lists,
+    ):
         more = by_service(serving, size=12, kinds=kinds) if knows else using(lists, size=12, kinds=kinds)
 
         def tell(servers):
@@ -122,8 +156,12 @@
                 rewrite(serving, servers)
             else:
                 old = {entry["id"] for entry in servers}
-                lists.change([*servers[MANY:], *(entry | {"state": "removed"} for entry in lists.servers
-                                                 if entry["id"] not in old)])
+                lists.change(
+                    [
+                        *servers[MANY:],
+                        *(entry | {"state": "removed"} for entry in lists.servers if entry["id"] not in old),
+                    ]
+                )
 
         async with Node(path=tmp_path, more=more) as node:
             viewing, now = node.node.discovery.viewing, services(stub.port)
@@ -133,8 +171,11 @@
             assert (await node.ask(command()) == SERVED) == bool(held)
             now = [*now, now[-1] | {"id": "first", "kind": "none"}]
             tell(now)
-            await until(lambda: pools(node) == viewed(now, 12, kinds) and ("none" not in kinds
-                                                                         or "first" in pools(node)))
+            await until(
+                lambda: (
+                    pools(node) == viewed(now, 12, kinds) and ("none" not in kinds or "first" in pools(node))
+                )
+            )
             assert await node.ask(command(b"r2")) == SERVED
             now = [entry for entry in now if entry["id"] != "only"]
             tell(now)
@@ -148,16 +189,19 @@
 def test_of_2600_services_a_gateway_is_told_of_the_20_that_it_uses(monkeypatch):
     r = filled(3 * SERVICES, zones="abcdef", kinds=[f"k{n}" for n in range(SERVICES)])
     rng = random.Random(1)
-    all_ = [View(n, 120, ZONES[n % 6], tuple(f"k{k}" for k in rng.sample(range(SERVICES), USED)))
-            for n in range(60)]
+    all_ = [
+        View(n, 120, ZONES[n % 6], tuple(f"k{k}" for k in rng.sample(range(SERVICES), USED)))
+        for n in range(60)
+    ]
     for view in all_:
         whole = r.view(1.0, None, view)
         assert Counter(h.kind for h in whole.hosts) == dict.fromkeys(view.kinds, 3)
         assert whole.total == 3 * USED
         assert r.watch_view(1.0, view, view, whole.version, 60.0, "e") is None
     made, remake = [], live.Views.remake
-    monkeypatch.setattr(live.Views, "remake", lambda self, one, group: (
-        made.append(group) or remake(self, one, group)))
+    monkeypatch.setattr(
+        live.Views, "remake", lambda self, one, group: made.append(group) or remake(self, one, group)
+    )
     concerned = 0
     for n in range(50):  # before the first watch has waited for long enough
         kind = f"k{n}"
@@ -175,8 +219,7 @@
 async def test_of_2600_services_a_gateway_keeps_the_20_that_it_uses_out_of_a_whole_list(tmp_path):
     servers = hosts(3 * SERVICES, kinds=SERVICES)
     kinds = [f"k{n * 130}" for n in range(USED)]
-    async with Lists(servers) as lists, \
-            Node(path=tmp_path, more=using(lists, size=120, kinds=kinds)) as node:
+    async with Lists(servers) as lists, Node(path=tmp_path, more=using(lists, size=120, kinds=kinds)) as node:
         await lists.watched()
         assert pools(node) == viewed(servers, 120, kinds) and len(pools(node)) == 3 * USED
         assert node.node.discovery.viewing.shelf.size() == 3 * USED
@@ -184,11 +227,13 @@
 
 # Names of equal hash
 
+
 @pytest.mark.parametrize("size", [1, 7, 30])
 def test_of_hosts_of_equal_hash_service_and_gateway_take_the_same(size, monkeypatch):
     """All have one of two places, so that their ids alone decide."""
+
     def place(name):
-        return int(name[1:]) % 2 * 2 ** 62 + 5
+        return int(name[1:]) % 2 * 2**62 + 5
 
     for module in (base, net):
         monkeypatch.setattr(module, "place_of", place)
@@ -218,19 +263,22 @@
         return own, held
 
     others, _ = used()
-    monkeypatch.setattr(policy, "stable_hash",
-                        lambda name, use: 7 if use == "place" else stable_hash(name, use))
+    monkeypatch.setattr(
+        policy, "stable_hash", lambda name, use: 7 if use == "place" else stable_hash(name, use)
+    )
     own, held = used()
     assert len(own) == len(set(own)) == len(others) > 2 and len(held) > 2 and held <= set(own)
 
 
 # A tenant that moves between gateways
 
+
 def part(hosts_, index, gateways, view, **kw):
-    w = World(settings(plans=[plan(rate=2.0, burst=24.0)], gateways=gateways, index=index, **kw), [],
-              seed=index + 1)
-    at = int(index * GOLDEN % 1.0 * 2 ** 63)
-    near = sorted(hosts_, key=lambda h: (policy.stable_hash(h.id, "place") - at) % 2 ** 63)
+    w = World(
+        settings(plans=[plan(rate=2.0, burst=24.0)], gateways=gateways, index=index, **kw), [], seed=index + 1
+    )
+    at = int(index * GOLDEN % 1.0 * 2**63)
+    near = sorted(hosts_, key=lambda h: (policy.stable_hash(h.id, "place") - at) % 2**63)
     w.do(api.HostList("full", 1, tuple(near[:view]), len(hosts_)))
     return w
 
@@ -270,10 +318,14 @@
 
 # By a list service that knows views
 
+
 @on_loop
 async def test_a_host_that_leaves_the_view_by_a_service_answers_what_it_has(tmp_path):
-    async with StubHost(None) as stub, Serving(tmp_path, hosts(40, stub.port)) as serving, \
-            Node(path=tmp_path, more=by_service(serving, size=1)) as node:
+    async with (
+        StubHost(None) as stub,
+        Serving(tmp_path, hosts(40, stub.port)) as serving,
+        Node(path=tmp_path, more=by_service(serving, size=1)) as node,
+    ):
         now = hosts(40, stub.port)
         await until(lambda: pools(node) == viewed(now, 1) and serving.service.waiting)
         first = pools(node)
@@ -290,8 +342,11 @@
 @on_loop
 async def test_a_view_by_a_service_empties_and_fills_again(tmp_path, monkeypatch):
     monkeypatch.setattr(core, "DRAIN", 0.05)
-    async with StubHost() as stub, Serving(tmp_path, hosts(60, stub.port)) as serving, \
-            Node(path=tmp_path, more=by_service(serving, size=12)) as node:
+    async with (
+        StubHost() as stub,
+        Serving(tmp_path, hosts(60, stub.port)) as serving,
+        Node(path=tmp_path, more=by_service(serving, size=12)) as node,
+    ):
         every = hosts(60, stub.port)
         await until(lambda: pools(node) == viewed(every, 12))
         own = pools(node)
--- a/tests/test_views.py
+++ b/tests/test_views.py
@@ -40,22 +40,43 @@
     assert not [name for name in used if name.startswith("calicomast")]
 
 
-@pytest.mark.parametrize("view", [
-    View(0, 1), View(4199, 480, "a"), View(3, 65536, "a,b&c=d %2C"), View(1, 5, "", ("x", "y,z", "é%", "")),
-    View(1, 5, "ä", ("",)), View(10 ** 17, 5, "a"),
-])
+@pytest.mark.parametrize(
+    "view",
+    [
+        View(0, 1),
+        View(4199, 480, "a"),
+        View(3, 65536, "a,b&c=d %2C"),
+        View(1, 5, "", ("x", "y,z", "é%", "")),
+        View(1, 5, "ä", ("",)),
+        View(10**17, 5, "a"),
+    ],
+)
 def test_a_view_is_read_as_it_was_written(view):
     told = parse_qs(view.query(), keep_blank_values=True, strict_parsing=True)
     assert set(told) == ({"view", "kinds"} if view.kinds else {"view"})
     assert read_view(told["view"][0], told["kinds"][0] if view.kinds else None) == view
 
 
-@pytest.mark.parametrize("text, kinds", [
-    ("", None), ("1", None), ("1,", None), ("1,0", None), ("-1,5", None), ("1,65537", None), ("x,5", None),
-    ("1,5.0,a", None), ("1," + "9" * 30, None), ("²,5", None), ("1,5," + "z" * 129, None),
-    ("1,5,a", ",".join(str(n) for n in range(4097))), ("1,5,a", "k" * 129), (" 1,5", None),
-    ("1,5,\ud800", None),
-])
+@pytest.mark.parametrize(
+    "text, kinds",
+    [
+        ("", None),
+        ("1", None),
+        ("1,", None),
+        ("1,0", None),
+        ("-1,5", None),
+        ("1,65537", None),
+        ("x,5", None),
+        ("1,5.0,a", None),
+        ("1," + "9" * 30, None),
+        ("²,5", None),
+        ("1,5," + "z" * 129, None),
+        ("1,5,a", ",".join(str(n) for n in range(4097))),
+        ("1,5,a", "k" * 129),
+        (" 1,5", None),
+        ("1,5,\ud800", None),
+    ],
+)
 def test_what_is_no_view_is_refused_in_one_line(text, kinds):
     with pytest.raises(ValueError) as told:
         read_view(text, kinds)
@@ -66,10 +87,16 @@
     assert View(1, 5, "a", ("y", "x", "y")) == View(1, 5, "a", ("x", "y")) == read_view("1,5,a", "y,x,x")
 
 
-@pytest.mark.parametrize("picked, most", [
-    (range(600), 2), (range(300, 600), 2), (range(1000, 1050), 2), (range(4200), 2),
-    *((range(1, 4200, zones), 4) for zones in range(2, 10)),
-])
+@pytest.mark.parametrize(
+    "picked, most",
+    [
+        (range(600), 2),
+        (range(300, 600), 2),
+        (range(1000, 1050), 2),
+        (range(4200), 2),
+        *((range(1, 4200, zones), 4) for zones in range(2, 10)),
+    ],
+)
 def test_gateways_lie_evenly_on_the_ring_whichever_of_them_are_there(picked, most):
     places = sorted(View(n, 1).place for n in picked)
     gaps = [b - a for a, b in zip(places, [*places[1:], places[0] + module.RING], strict=True)]
@@ -207,17 +234,18 @@
     assert rings.members(View(0, 3)) == {"a", "c", "d", "e"}  # c drains among the first three
 
 
-@pytest.mark.parametrize("size, hosts", [(10, 0), (10, 1), (10, 10), (60000, 4000), (1, 4000), (1, 1),
-                                         (11, 12)])
+@pytest.mark.parametrize(
+    "size, hosts", [(10, 0), (10, 1), (10, 10), (60000, 4000), (1, 4000), (1, 1), (11, 12)]
+)
 def test_a_view_holds_what_there_is_up_to_its_size(size, hosts):
     rings = rings_of(hosts)
-    for view in (View(3, size, "a"), View(3, size), View(10 ** 12 + 7, size, "f"), View(2 ** 62, size, "zz")):
+    for view in (View(3, size, "a"), View(3, size), View(10**12 + 7, size, "f"), View(2**62, size, "zz")):
         assert len(rings.members(view)) == min(size, hosts) and rings.total(view) == hosts
 
 
 def test_numbers_far_beyond_are_spread_as_well():
     rings = rings_of(4000)
-    counts = Counter(n for i in range(100) for n in rings.members(View(10 ** 15 + i, 400, ZONES[i % 6])))
+    counts = Counter(n for i in range(100) for n in rings.members(View(10**15 + i, 400, ZONES[i % 6])))
     assert len(counts) == 4000 and max(counts.values()) <= 20
 
 
@@ -287,13 +315,14 @@
 def nearest(mine, others, view, bound):
     """How many are of the own zone among the first of all, where others count as farther by as many times as
     there are other zones, less or more what chance makes of it."""
+
     def far(h):
         return (h.spot[0] - view.place) % module.RING
 
     ratio = max(1, len({h.zone for h in (*mine, *others) if h.zone and h.up}) - 1)
     ratio *= (1 + module.CHANCE / math.sqrt(view.share)) ** bound
     ups = sorted([(far(h), 0) for h in mine if h.up] + [(ratio * far(h), 1) for h in others if h.up])
-    return sum(side == 0 for _, side in ups[:view.share])
+    return sum(side == 0 for _, side in ups[: view.share])
 
 
 def plain(rings, view):
@@ -322,8 +351,15 @@
 @pytest.mark.parametrize("seed", range(12))
 def test_members_are_those_that_sorting_all_would_give(seed):
     rng, rings = random.Random(seed), Rings()
-    views = [View(rng.randrange(50), rng.choice([1, 2, 7, 20, 90]), rng.choice(["", "a", "b", "x"]),
-                  rng.choice([(), ("k",), ("k", "l"), ("l", "none")])) for _ in range(12)]
+    views = [
+        View(
+            rng.randrange(50),
+            rng.choice([1, 2, 7, 20, 90]),
+            rng.choice(["", "a", "b", "x"]),
+            rng.choice([(), ("k",), ("k", "l"), ("l", "none")]),
+        )
+        for _ in range(12)
+    ]
     zones = rng.choice(["a", "ab", "abcd"])
     for _ in range(150):
         name = f"h{rng.randrange(60)}"
@@ -333,8 +369,9 @@
             rings.put(name, rng.choice("kl"), rng.choice(zones), rng.random() < 0.7)
         for view in rng.sample(views, 3):
             assert rings.members(view) == plain(rings, view)
-            assert rings.total(view) == sum(h.up for h in rings.known.values()
-                                            if not view.kinds or h.kind in view.kinds)
+            assert rings.total(view) == sum(
+                h.up for h in rings.known.values() if not view.kinds or h.kind in view.kinds
+            )
     for name in list(rings.known):
         rings.drop(name)
     assert rings.groups == {None: {}}
