--- a/calicomast/standins/counter.py
+++ b/calicomast/standins/counter.py
@@ -4,17 +4,19 @@
 
 import asyncio
 from collections import deque
+from time import monotonic
 from typing import Any
 
 from calicomast.standins.service import Faults, Served
 
 MOST_NAMES = 100_000  # known at once; of more, the one that came first is forgotten
+MOST_LIFE = 60.0  # s that a name lives at most
 MOST_CALLS = 1000  # that are remembered for whoever looks
 
 
 class Counter(Served):
-    """Keeps totals. While it is `silent`, calls are added and stay unanswered until `answer_all`; `idle`: s
-    without a line after which it closes a connection. A name's life is not counted."""
+    """Keeps totals, each for the life that its first call named. While it is `silent`, calls are added and
+    stay unanswered until `answer_all`; `idle`: s without a line after which it closes a connection."""
 
     def __init__(self, seed: int = 0) -> None:
         super().__init__(seed)
@@ -23,6 +25,7 @@
         self.closed: asyncio.Queue[bool] = asyncio.Queue()
         self.calls: deque[list[bytes]] = deque(maxlen=MOST_CALLS)
         self.totals: dict[bytes, float] = {}
+        self.ends: dict[bytes, float] = {}  # when each name is forgotten, by the monotonic clock
         self.silent = False
         self.held: list[tuple[asyncio.StreamWriter, bytes]] = []
         self.arrived: asyncio.Queue[list[bytes]] = asyncio.Queue(MOST_CALLS)
@@ -50,12 +53,22 @@
         if self.arrived.full():
             self.arrived.get_nowait()
         self.arrived.put_nowait(words)
-        total = self.totals[words[1]] = self.totals.get(words[1], 0.0) + float(words[2])
-        if len(self.totals) > MOST_NAMES:
-            del self.totals[next(iter(self.totals))]
+        total = self.add(words[1], float(words[2]), min(MOST_LIFE, float(words[3]) / 1000))
         self.added += 1
         return b"ok %.7g\r\n" % total
 
+    def add(self, name: bytes, amount: float, life: float) -> float:
+        """The total; `life` is that of a new name, in seconds."""
+        now = monotonic()
+        if self.ends.get(name, 0.0) <= now:
+            self.totals.pop(name, None)
+            self.ends[name] = now + life
+        total = self.totals[name] = self.totals.get(name, 0.0) + amount
+        if len(self.totals) > MOST_NAMES:
+            oldest = next(iter(self.totals))
+            del self.totals[oldest], self.ends[oldest]
+        return total
+
     async def line(self, reader: asyncio.StreamReader) -> bytes:
         try:
             async with asyncio.timeout(self.idle):
--- /dev/null
+++ b/tests/gateway_process.py
@@ -0,0 +1,88 @@
+"""A gateway's program as a process of its own, with faults inside it."""
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+from netkit import control, read_reply
+
+ROOT = Path(__file__).resolve().parent.parent
+INJECTED = ROOT / "tests" / "injected"
+PROGRAM = [sys.executable, "-B", "-m", "calicomast.net"]
+PING, PONG = b"*1\r\n$4\r\nPING\r\n", b"+PONG\r\n"
+
+
+class GatewayProcess:
+    """A process that runs, its two ports and what it has logged so far."""
+
+    def __init__(self, process, control_port, port, log):
+        self.process, self.control_port, self.port, self.log = process, control_port, port, log
+
+    def signal(self, number):
+        with contextlib.suppress(ProcessLookupError):
+            self.process.send_signal(number)
+
+    async def status(self):
+        return (await control(self.control_port, "GET /status"))[1]
+
+    async def ready(self):
+        """Until it says yes to PING."""
+        while True:
+            reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+            writer.write(PING)
+            reply = await read_reply(reader)
+            writer.close()
+            if reply == PONG:
+                return
+            await asyncio.sleep(0.05)
+
+
+async def start_gateway(folder, tree, faults=None, name="config.json", listen="127.0.0.1:0"):
+    """Waits until it listens. `tree` is its configuration, `faults` as injected/sitecustomize.py has them."""
+    config = folder / name
+    config.write_text(json.dumps(tree))
+    env = {
+        **os.environ,
+        "RELAY_CONFIG": str(config),
+        "RELAY_LISTEN": listen,
+        "RELAY_CONTROL": "127.0.0.1:0",
+        "TMPDIR": str(folder),
+        "INJECTED_FAULTS": json.dumps(faults or {}),
+        "PYTHONPATH": f"{INJECTED}{os.pathsep}{ROOT}",
+    }
+    process = await asyncio.create_subprocess_exec(*PROGRAM, cwd=ROOT, env=env, stderr=subprocess.PIPE)
+    log, ports = [], []
+    while len(ports) < 2:  # the second address, then the clients'
+        line = (await process.stderr.readline()).decode()
+        assert line, f"the gateway ended at its start: {''.join(log)}"
+        log.append(line)
+        if "listens on" in line or "calls are taken at" in line:
+            ports.append(int(line.rsplit(":", 1)[1]))
+    started = GatewayProcess(process, *ports, log)
+    started.reading = asyncio.create_task(read_log(process, log))
+    return started
+
+
+async def read_log(process, log):
+    while line := await process.stderr.readline():
+        log.append(line.decode())
+
+
+async def end_gateway(gateway):
+    gateway.signal(signal.SIGKILL)
+    await gateway.process.wait()
+    await gateway.reading
+
+
+@contextlib.asynccontextmanager
+async def gateway_process(folder, tree, faults=None, name="config.json"):
+    gateway = await start_gateway(folder, tree, faults, name)
+    try:
+        yield gateway
+    finally:
+        await end_gateway(gateway)
