Accept by the gateway itself: a momentary want of descriptors closes nobody unread

Cause: the event loop's library answers EMFILE and ENFILE at accept by closing all that waits in the backlog (its reserve descriptor serves to do so). Seen with the limit of descriptors taken away for 20 ms again and again: connections closed unread, also by one failure alone. Ruled out: the limit on clients (far from it), and the key edge, which accepts by itself and passed. Change: base/accepting.py accepts for clients, the control address, the list service and the grantor. Shortages are tried again; errors of one connection (ECONNABORTED, EPROTO and what else accept(2) passes on) keep no other waiting, where the acceptor of the key edge raised them. Only descriptors of the process's own that stay filled for 0.3 s close what waits. At the end the gateway waits for connections that are accepted and have no protocol yet. Two tests of the stand-in for the loop's accepting went with it: replaced by ten that ask for more (a connection that meets a shortage is served, however often it fails). The test that once met -BUSY was one of them: the -BUSY was the module's answer to a first request while discovery was timing out beside five workers; not reproduced, so its cause stays unproven.

--- a/calicomast/budgets/service.py
+++ b/calicomast/budgets/service.py
@@ -11,6 +11,7 @@
 import msgspec
 from aiohttp import web
 
+from calicomast.base.accepting import AcceptingServer, serve
 from calicomast.base.calls import hand_out, read_body
 from calicomast.base.faults import ConfigError
 from calicomast.budgets.clock import boot_clock
@@ -35,7 +36,7 @@
         self.config, self.clock = config, boot_clock
         self.store = Store(config.log) if config.log is not None else None
         self.server = web.Server(self.call, access_log=None)
-        self.listener: asyncio.Server | None = None
+        self.listener: AcceptingServer | None = None
         self.writer = ThreadPoolExecutor(1)
         self.waiting: list[asyncio.Future[bool]] = []  # answers that are told once they are on disk
         self.wake = asyncio.Event()
@@ -78,7 +79,7 @@
             self.wake.set()  # how long all may last stands in the log from the first moment on
             self.tasks.append(loop.create_task(self.keep_writing()))
         self.tasks.append(loop.create_task(self.keep_ticking()))
-        self.listener = await loop.create_server(self.server, *self.config.listen, backlog=BACKLOG)
+        self.listener = serve(self.config.listen, self.server, BACKLOG)
         return self.listener.sockets[0].getsockname()[1]
 
     def agreed(self, before: State) -> dict[str, float | str]:
--- a/calicomast/net/admission.py
+++ b/calicomast/net/admission.py
@@ -23,14 +23,16 @@
 
 import hiredis
 
+from calicomast.base.accepting import CONNECTION_ERRORS, SHORTAGE_ERRORS
 from calicomast.net.clients import MOST_PENDING, Client, ClientServer
-from calicomast.net.listening import BATCH, EMPTY, PAUSE
 from calicomast.net.resp import NO_REPLY, SMALL
 
 MOST_SOURCES = 4096  # that are remembered; past that the ones that rest longest are forgotten
 QUANTUM = 4.0  # commands that a connection or a source may have taken before the next one's turn
 COMMAND_BYTES = 1024  # bytes that count as much as a command by itself
 WINDOW, WINDOW_LEAST = 32.0, 4.0  # commands of a connection in work: at first; however pressed hosts are
+ACCEPTS_PER_TURN = 16  # connections that are accepted before the loop turns to requests in flight
+PAUSE = 0.1  # s without accepting where the system had nothing left for it
 LOT = 8.0  # commands that are taken before answers and new bytes are looked at again: some 2 ms
 REFUSED = b"-ERR too many connections\r\n"
 
@@ -439,7 +441,7 @@
         self.timer = self.loop.call_later(seconds, self.resume)
 
     def turn(self) -> None:
-        for _ in range(BATCH):
+        for _ in range(ACCEPTS_PER_TURN):
             now = monotonic()
             wait = self.gate.all.wait(now)
             if wait > 0:
@@ -447,13 +449,14 @@
                 return
             try:
                 sock, address = self.sockets[0].accept()
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+            except (BlockingIOError, InterruptedError):
                 return
             except OSError as err:
-                if err.errno not in EMPTY:
-                    raise
+                if err.errno in CONNECTION_ERRORS:
+                    continue
                 log.warning("no connection can be taken: %s; again in %.1f s", err, PAUSE)
-                self.server.free()
+                if err.errno in SHORTAGE_ERRORS:
+                    self.server.free()
                 self.pause(PAUSE)
                 return
             self.take(now, sock, address[0])
--- a/calicomast/net/clients.py
+++ b/calicomast/net/clients.py
@@ -19,7 +19,8 @@
 
 import hiredis
 
-from calicomast.net.listening import Listener, open_socket
+from calicomast.base.accepting import open_listening_socket
+from calicomast.net.listening import ClientListener
 from calicomast.net.resp import MOST_LARGE, NO_REPLY, SMALL, Reader
 
 MOST_COMMAND = SMALL + 4096  # bytes of one command but for a large body, framing included
@@ -438,8 +439,7 @@
         self.idle = Idle()
         self.lingering: OrderedDict[Client, None] = OrderedDict()  # the first that began to is the first
         self.ending: dict[Client, None] = {}  # those that were cut, until the loop says so
-        self.listener: Any = None  # a Listener, or an Acceptor
-        self.look: Callable[[], None] | None = None  # whether the loop still takes new connections
+        self.listener: Any = None  # a ClientListener, or an Acceptor
         self.on_empty: Callable[[], None] | None = None
         self.sweeping: asyncio.TimerHandle | None = None
         self.drained_at: float | None = None  # since when clients are sent away
@@ -451,7 +451,7 @@
         sock = (
             socket.socket(fileno=os.dup(inherited))
             if inherited is not None
-            else (open_socket((host, port), BACKLOG))
+            else open_listening_socket((host, port), BACKLOG)
         )
         sock.setblocking(False)
         if edge is not None:
@@ -459,9 +459,7 @@
 
             self.listener = Acceptor(sock, self, edge)
         else:
-            self.listener = Listener(sock, lambda: Client(self), BACKLOG, self.free)
-            await self.listener.begin()
-            self.look = self.listener.look
+            self.listener = ClientListener(sock, lambda: Client(self), self.free)
         self.sweep()
         return self.listener.sockets[0].getsockname()[1]
 
@@ -470,8 +468,6 @@
         nothing more is sent on."""
         self.sweeping = asyncio.get_running_loop().call_later(SWEEP, self.sweep)
         now = monotonic()
-        if self.look is not None:
-            self.look()
         for client in ended(self.not_read):
             self.alone(client, client.leave)
         for client in list(self.timed if self.drained_at is None else self.clients):
@@ -584,7 +580,7 @@
         """Until what has come to the listener is taken: its close would reset what waits there."""
         poll, end = select.poll(), monotonic() + within
         poll.register(self.listener.sockets[0].fileno(), select.POLLIN)
-        while poll.poll(0) and monotonic() < end:
+        while (poll.poll(0) or self.listener.coming) and monotonic() < end:
             await asyncio.sleep(0)
 
     def finish(self, within: float = math.inf) -> None:
@@ -593,7 +589,6 @@
         self.last_read = min(self.last_read, READ_PART * within)
         if self.listener:
             self.listener.close()
-            self.look = None
         if self.drained_at is None:
             self.drain(True)
 
--- a/calicomast/net/control.py
+++ b/calicomast/net/control.py
@@ -6,18 +6,17 @@
 import asyncio
 import inspect
 import logging
-import socket
 from collections.abc import Awaitable, Callable
 from typing import Any
 
 from aiohttp import web
 
+from calicomast.base.accepting import BoundedServer, open_listening_socket
 from calicomast.base.calls import read_body
 from calicomast.base.listing import Address
 from calicomast.net.bans import UnknownHost
 from calicomast.net.changes import CONFIRM_LEAST, CONFIRM_MOST, Refused
 from calicomast.net.keys import MOST_BODY, MOST_TOLD, is_number
-from calicomast.net.listening import EMPTY, PAUSE, Made, open_socket
 
 MOST_CALLERS = 16  # connections; past them the one that came first goes
 MOST_ENDING = 4  # beside them whose end has not taken effect; more than both wait unopened, whatever comes
@@ -30,62 +29,6 @@
 Answer = tuple[int, dict[str, Any]]
 
 
-class BoundedListener:
-    """A listening socket of which `most` connections are open at once; the rest waits in its backlog. Whoever
-    is told of the end of one says so by ended()."""
-
-    def __init__(self, sock: socket.socket, made: Made, most: int) -> None:
-        self.sockets, self.made, self.most = [sock], made, most
-        self.loop, self.open, self.reads = asyncio.get_running_loop(), 0, False
-        self.coming: set[asyncio.Task[Any]] = set()
-        self.timer: asyncio.TimerHandle | None = None
-        self.resume()
-
-    def resume(self) -> None:
-        self.timer = None
-        if self.sockets[0].fileno() >= 0 and not self.reads and self.open < self.most:
-            self.loop.add_reader(self.sockets[0].fileno(), self.turn)
-            self.reads = True
-
-    def pause(self) -> None:
-        if self.reads:
-            self.loop.remove_reader(self.sockets[0].fileno())
-            self.reads = False
-
-    def turn(self) -> None:
-        try:
-            sock, _ = self.sockets[0].accept()
-        except OSError as err:
-            if err.errno in EMPTY:
-                self.pause()
-                self.timer = self.loop.call_later(PAUSE, self.resume)
-            return
-        self.open += 1
-        if self.open >= self.most:
-            self.pause()
-        task = self.loop.create_task(self.take(sock))
-        self.coming.add(task)
-        task.add_done_callback(self.coming.discard)
-
-    async def take(self, sock: socket.socket) -> None:
-        try:
-            await self.loop.connect_accepted_socket(self.made, sock)
-        except OSError:
-            sock.close()
-            self.ended()
-
-    def ended(self) -> None:
-        self.open -= 1
-        if self.timer is None:
-            self.resume()
-
-    def close(self) -> None:
-        if self.timer is not None:
-            self.timer.cancel()
-        self.pause()
-        self.sockets[0].close()
-
-
 class Callers(web.Server):
     """A connection is for one call: one that brings none is not kept, nor is one that stays after it or does
     not take its answer."""
@@ -121,7 +64,7 @@
     def __init__(self, node: Any) -> None:
         self.node = node
         self.server = Callers(self.call, access_log=None)
-        self.listener: BoundedListener | None = None
+        self.listener: BoundedServer | None = None
         self.calls: dict[str, tuple[str, Callable[[web.BaseRequest], Answer | Awaitable[Answer]]]] = {
             "/status": ("GET", self.status),
             "/members": ("GET", self.members),
@@ -139,9 +82,9 @@
 
     async def listen(self, address: Address) -> int:
         """Returns the port. Raises OSError."""
-        sock = open_socket(address, BACKLOG)
-        self.listener = BoundedListener(sock, self.server, MOST_CALLERS + MOST_ENDING)
-        self.server.ended = self.listener.ended
+        sock = open_listening_socket(address, BACKLOG)
+        self.listener = BoundedServer(sock, self.server, MOST_CALLERS + MOST_ENDING)
+        self.server.ended = self.listener.connection_ended
         return self.listener.sockets[0].getsockname()[1]
 
     async def call(self, request: web.BaseRequest) -> web.Response:
--- a/calicomast/net/counter.py
+++ b/calicomast/net/counter.py
@@ -12,7 +12,7 @@
 
 from calicomast.base.listing import Address
 from calicomast.base.ratelimit import LimitedLog
-from calicomast.net.listening import no_more, with_room
+from calicomast.net.descriptors import reclaim_nothing, retry_after_reclaim
 
 LINES = 4  # connections, so that a part that is slow does not hold up the names of the others
 KEEP_ALIVE = 2.0  # s without a call after which a `ping`, which costs nothing, keeps a connection open
@@ -65,7 +65,7 @@
         self.worked = False  # the connection has brought an answer
         self.keep_alive = KEEP_ALIVE  # the counter does not tell for how long a connection may stand idle
         self.lost = asyncio.Event()
-        self.give_back = no_more  # ends a connection of others where none can be opened
+        self.reclaim_descriptor = reclaim_nothing  # ends a connection of others where none can be opened
         self.odd = LimitedLog(log)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -183,8 +183,8 @@
             self.coming = self.coming or []
             try:
                 async with asyncio.timeout(1.0):
-                    await with_room(
-                        lambda: loop.create_connection(lambda: self, *self.address), self.give_back
+                    await retry_after_reclaim(
+                        lambda: loop.create_connection(lambda: self, *self.address), self.reclaim_descriptor
                     )
             except (OSError, TimeoutError):
                 self.release()
--- a/calicomast/net/fetch.py
+++ b/calicomast/net/fetch.py
@@ -14,7 +14,7 @@
 import h11
 
 from calicomast.base.listing import Address
-from calicomast.net.listening import no_more, with_room
+from calicomast.net.descriptors import reclaim_nothing, retry_after_reclaim
 
 MOST_BODY = 16 * 1024 * 1024  # bytes of an answer: a list of 1,000 hosts takes 150 kB
 PIECE = 64 * 1024
@@ -126,7 +126,7 @@
 
     def __init__(self) -> None:
         self.resting: Line | None = None
-        self.give_back = no_more  # ends a connection of others where none can be opened
+        self.reclaim_descriptor = reclaim_nothing  # ends a connection of others where none can be opened
 
     async def get(self, address: Address, target: str, limit: float) -> Any:
         """The JSON that is told there. Raises ValueError beside what fetch() raises."""
@@ -141,7 +141,9 @@
                     return await self.call(line, target)
             elif line is not None:
                 line.close()
-            opened = await with_room(lambda: asyncio.open_connection(*address), self.give_back)
+            opened = await retry_after_reclaim(
+                lambda: asyncio.open_connection(*address), self.reclaim_descriptor
+            )
             line = Line(address, *opened)
             return await self.call(line, target)
 
--- a/calicomast/net/gateway.py
+++ b/calicomast/net/gateway.py
@@ -150,7 +150,7 @@
                 config.discovery, *args, self.agent_grace(self.settings), self.viewing()
             )
         for caller in (self.hosts, self.discovery.fetcher, *(self.counter.lines if self.counter else ())):
-            caller.give_back = self.give_back
+            caller.reclaim_descriptor = self.reclaim_descriptor
         self.actions = {
             api.Send: self.send,
             api.Refuse: self.refuse,
@@ -240,7 +240,7 @@
         self.clients.most, self.clients.budget.most = self.room(self.config)
         self.hosts.most = self.clients.most
 
-    def give_back(self) -> bool:
+    def reclaim_descriptor(self) -> bool:
         """Whether one connection is ended for its descriptor, where none can be opened without."""
         return self.clients.free() or self.hosts.end_idle() or self.clients.end_fresh()
 
--- a/calicomast/net/hosts.py
+++ b/calicomast/net/hosts.py
@@ -20,7 +20,7 @@
 import hiredis
 
 from calicomast.base.listing import Address
-from calicomast.net.listening import lacks, with_room
+from calicomast.net.descriptors import is_resource_exhaustion, retry_after_reclaim
 from calicomast.net.resp import END, NO_REPLY, SMALL, Reader
 from calicomast.settings import REPORT, read_report
 
@@ -373,9 +373,9 @@
     async def open(self) -> Connection | None:
         """A new connection; None where it is refused or does not come up in time. Raises Short."""
         try:
-            return await with_room(self.open_once, self.hosts.give_back)
+            return await retry_after_reclaim(self.open_once, self.hosts.reclaim_descriptor)
         except (OSError, ValueError) as err:  # refused, out of time, or no address at all
-            if lacks(err):
+            if is_resource_exhaustion(err):
                 raise Short from err
         return None
 
@@ -493,7 +493,7 @@
     def __init__(self, connect_timeout: float, idle_close: float, most: int) -> None:
         self.most, self.make = most, Pool
         self.coming = 0  # connections that are coming up, of all pools
-        self.give_back = self.end_idle  # ends a connection, of whatever kind, where none can be opened
+        self.reclaim_descriptor = self.end_idle  # ends a connection, of any kind, where none can be opened
         self.idle: OrderedDict[Connection, None] = OrderedDict()  # that rest, of all pools, the oldest first
         self.retune(connect_timeout, idle_close)
         self.pools: dict[str, Pool] = {}
--- a/calicomast/registry/service.py
+++ b/calicomast/registry/service.py
@@ -12,6 +12,7 @@
 
 from aiohttp import web
 
+from calicomast.base.accepting import AcceptingServer, serve
 from calicomast.base.calls import hand_out, read_body
 from calicomast.base.faults import ConfigError
 from calicomast.base.listing import write_address
@@ -40,7 +41,7 @@
         self.server = web.Server(
             self.call, access_log=None, handler_cancellation=True, max_line_size=MOST_QUERY
         )
-        self.listener: asyncio.Server | None = None
+        self.listener: AcceptingServer | None = None
         self.waiting: dict[object, asyncio.Future[Answer]] = {}
         self.encoded: dict[tuple[object, ...], bytes] = {}  # of the version that is told now
         self.encoded_at, self.encoded_size = -1, 0  # that version, and bytes
@@ -55,8 +56,7 @@
         if self.config.hosts is not None:
             self.registry.load(self.clock(), read_hosts(self.config.hosts))
         self.learned_at = self.clock() + self.config.learn
-        loop = asyncio.get_running_loop()
-        self.listener = await loop.create_server(self.server, *self.config.listen, backlog=BACKLOG)
+        self.listener = serve(self.config.listen, self.server, BACKLOG)
         self.turn()
         port = self.listener.sockets[0].getsockname()[1]
         if self.config.membership:
--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -166,6 +166,7 @@
     assert [name for name in told if name.startswith("calicomast")] == [
         "calicomast",
         "calicomast.base",
+        "calicomast.base.accepting",
         "calicomast.base.faults",
         "calicomast.base.listing",
         "calicomast.base.ratelimit",
@@ -176,6 +177,7 @@
         "calicomast.net.clients",
         "calicomast.net.config",
         "calicomast.net.counter",
+        "calicomast.net.descriptors",
         "calicomast.net.discovery",
         "calicomast.net.fetch",
         "calicomast.net.gateway",
--- a/tests/test_net_admission.py
+++ b/tests/test_net_admission.py
@@ -198,7 +198,7 @@
             sock.connect(("127.0.0.1", node.port))
             socks.append(sock)
         await until(lambda: len(node.node.clients.clients) == 100)
-        assert max(turns) == admission.BATCH and sum(turns) == 100
+        assert max(turns) == admission.ACCEPTS_PER_TURN and sum(turns) == 100
         for sock in socks:
             sock.close()
 
--- a/tests/test_net_descriptors.py
+++ b/tests/test_net_descriptors.py
@@ -32,9 +32,11 @@
 )
 
 from calicomast import interface as api
+from calicomast.base.accepting import LASTING
 from calicomast.net import control as control_net
-from calicomast.net import hosts, listening
+from calicomast.net import hosts
 from calicomast.net.bans import Bans
+from calicomast.net.listening import ReservedDescriptor
 
 ROOM = 32  # connections of clients that 128 descriptors leave room for
 TURN = 16  # connections that may come before an end takes effect
@@ -271,9 +273,9 @@
 
 @EDGES
 @on_loop
-async def test_without_the_loops_reserve_accepting_neither_spins_nor_ends(edge, tmp_path):
+async def test_without_its_reserve_accepting_neither_spins_nor_ends(edge, tmp_path):
     """A limit below all that is open: what closes a connection cannot be opened again, whoever took it, so
-    the loop cannot even shut what comes. It may accept again when there are descriptors, more than once."""
+    what comes cannot even be shut. It accepts again when there are descriptors, more than once."""
     async with (
         StubHost() as host,
         StubCounter() as counter,
@@ -300,51 +302,64 @@
             assert await gateway.ask(*peer) == SERVED
 
 
+@pytest.mark.parametrize(
+    "code", [errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM], ids=errno.errorcode.get
+)
 @on_loop
-async def test_the_loop_accepts_again_once_there_are_descriptors(tmp_path, monkeypatch):
-    """It does so for less; meanwhile the gateway takes connections, or shuts them where it must."""
-    monkeypatch.setattr(listening, "HOLD", 0.2)
+async def test_a_connection_that_cannot_be_accepted_waits_while_that_may_be_for_a_moment(code, tmp_path):
+    """However many times in a row accept fails within that moment."""
     async with StubHost() as host, Node(host, path=tmp_path) as node:
         listener = node.node.clients.listener
-        spare, listener.spare = listener.spare, lambda: False
-        listener.stand_in()
+        listener.sockets[0] = Empty(listener.sockets[0], 10, code)
         assert await node.ask(command()) == SERVED
-        listener.spare = spare
-        await until(lambda: listener.server is not None)
-        taken = listener.taken
-        assert await node.ask(command(b"r2")) == SERVED and listener.taken == taken + 1
+        assert listener.sockets[0].left == 0 and listener.short_since is None
 
 
+@pytest.mark.parametrize(
+    "code", [errno.ECONNABORTED, errno.EPROTO, errno.ENETUNREACH, errno.EPERM], ids=errno.errorcode.get
+)
 @on_loop
-async def test_connections_that_cannot_be_taken_are_shut_unread_and_a_late_loop_is_no_reason(tmp_path):
+async def test_an_error_of_one_connection_keeps_no_other_waiting(code, tmp_path):
     async with StubHost() as host, Node(host, path=tmp_path) as node:
         listener = node.node.clients.listener
-        for _ in range(3):  # it waits, but not since the last look
-            waits = socket.create_connection(("127.0.0.1", node.port))
-            listener.look()
-            assert listener.server is not None
-            await asyncio.sleep(0)
-            await until(lambda: not listener.poll.poll(0))
-            waits.close()
-        listener.spare = lambda: False
-        listener.stand_in()
-        await asyncio.sleep(0.05)
-        listener.sockets[0] = Empty(listener.sockets[0], 1)
-        reader, writer = await node.connect()
-        assert await reader.read() == b""
+        listener.sockets[0] = Empty(listener.sockets[0], 3, code)
         assert await node.ask(command()) == SERVED
+        assert listener.retry is None and listener.short_since is None
+
+
+@pytest.mark.parametrize("code, shut", [(errno.EMFILE, True), (errno.ENFILE, False)])
+@on_loop
+async def test_only_descriptors_of_its_own_that_stay_filled_shut_connections_unread(code, shut, tmp_path):
+    async with StubHost() as host, Node(host, path=tmp_path) as node:
+        listener = node.node.clients.listener
+        listener.sockets[0] = Empty(listener.sockets[0], 10_000, code)
+        reader, writer = await node.connect()
+        writer.write(command())
+        if shut:
+            listener.reserve.close_waiting = lambda sock: ReservedDescriptor.close_waiting(
+                listener.reserve, sock.sock
+            )
+            with contextlib.suppress(ConnectionResetError):
+                assert await reader.read() == b""
+            assert monotonic() - listener.short_since >= LASTING
+        else:
+            await until(lambda: listener.short_since and monotonic() - listener.short_since > 2 * LASTING)
+            listener.sockets[0].left = 0
+            assert await read_reply(reader) == SERVED
+        listener.sockets[0].left = 0
+        assert await node.ask(command(b"r2")) == SERVED
 
 
 class Empty:
-    """A listening socket that finds no descriptor `left` times."""
+    """A listening socket whose accept fails `left` times."""
 
-    def __init__(self, sock, left):
-        self.sock, self.left = sock, left
+    def __init__(self, sock, left, code):
+        self.sock, self.left, self.code = sock, left, code
 
     def accept(self):
         if self.left:
             self.left -= 1
-            raise OSError(errno.EMFILE, "Too many open files")
+            raise OSError(self.code, os.strerror(self.code))
         return self.sock.accept()
 
     def __getattr__(self, name):
@@ -502,8 +517,10 @@
 from pathlib import Path
 from calicomast import interface as api
 from calicomast.net import control as control_net
-from calicomast.net import hosts, listening
+from calicomast.base.accepting import LASTING
+from calicomast.net import hosts
 from calicomast.net.bans import Bans
+from calicomast.net.listening import ReservedDescriptor
 from calicomast.net.lives import Lives
 resource.setrlimit(resource.RLIMIT_NOFILE, (64, 64))
 def full():
