Slow start holds whatever the wall clock says: a start that is news is new

Cause: hosts' starts are told in Unix time and were compared with a clock that reads the wall clock once, at the start of the process (Clock in net/gateway.py, Server.warmth in policy/fleet.py). An hour ahead, a host that had just started counted as warm; an hour behind, it stayed at its coldest for an hour. A start that a list tells as news cannot be older than the list before and the delay of lists, and none lies in the future: what cannot be counts as now. The gateway looks at its wall clock four times a second; after a step a host is as cold as the colder of both readings has it. A ban that another process said is timed by this process's clock.

--- a/calicomast/interface.py
+++ b/calicomast/interface.py
@@ -247,6 +247,13 @@
     on: bool
 
 
+@dataclass(frozen=True, slots=True)
+class ClockStepped:
+    """The wall clock was seen to step, or was found to be wrong; the clock that events carry did not move."""
+
+    offset: float  # s by which the wall clock is ahead of the clock of events now
+
+
 @dataclass(frozen=True, slots=True)
 class Retune:
     """Settings for the requests that come from now on."""
@@ -255,7 +262,19 @@
 
 
 Event = (
-    HostList | Request | Outcome | Counted | Probed | Timer | Began | Gone | Message | Ban | Drain | Retune
+    HostList
+    | Request
+    | Outcome
+    | Counted
+    | Probed
+    | Timer
+    | Began
+    | Gone
+    | Message
+    | Ban
+    | Drain
+    | ClockStepped
+    | Retune
 )
 
 
--- a/calicomast/net/gateway.py
+++ b/calicomast/net/gateway.py
@@ -15,6 +15,7 @@
 import time
 from collections import deque
 from collections.abc import Callable
+from dataclasses import replace
 from functools import partial
 from typing import Any
 
@@ -43,7 +44,8 @@
 KILLED_AT = 3.0  # s after SIGTERM at which SIGKILL may come, where no deadline is shorter
 FINISH = 0.4  # s past that, by which everything is answered
 TURN = 0.02  # s between looks whether all has ended
-LOOK = 0.25  # s between looks at what other processes of this gateway did
+LOOK = 0.25  # s between looks at the wall clock and at what other processes of this gateway did
+CLOCK_STEP = 0.25  # s; a wall clock that moves by more between two looks has been stepped
 
 NUMBER = re.compile(rb"(?:[0-9]+\.?[0-9]*|\.[0-9]+)(?:[eE][+-]?[0-9]+)?").fullmatch
 CUSTOMER = re.compile(rb"[0-9a-fA-F]{16}").fullmatch
@@ -62,14 +64,20 @@
 
 
 class Clock:
-    """Unix time that never steps: hosts' starts and the counter's windows are told in it."""
+    """Seconds that never step: Unix time by the wall clock at the start, and monotonic from there on."""
 
     def __init__(self) -> None:
         self.zero = time.time() - time.monotonic()
+        self.wall_offset = 0.0  # s by which the wall clock was ahead of this one when it was last read
 
     def __call__(self) -> float:
         return self.zero + time.monotonic()
 
+    def wall_stepped(self) -> bool:
+        """Whether the wall clock has stepped since the last call."""
+        last, self.wall_offset = self.wall_offset, time.time() - self()
+        return abs(self.wall_offset - last) > CLOCK_STEP
+
 
 class Work:
     """A request that was taken: where its answer goes, what goes to hosts, and what is out for it."""
@@ -219,6 +227,9 @@
     def look(self) -> None:
         """What other processes of this gateway did: they share the bans, the descriptors and the memory."""
         self.looking = self.loop.call_later(LOOK, self.look)
+        if self.clock.wall_stepped():
+            log.warning("the wall clock is %+.1f s off since this process began", self.clock.wall_offset)
+            self.feed(api.ClockStepped(self.clock.wall_offset))
         self.read_bans()
         if self.control:
             self.changes.look()
@@ -633,6 +644,7 @@
         if self.said.get(ban.host) == ban:
             return
         self.said[ban.host] = ban
+        ban = replace(ban, at=self.clock())  # another process may have said it by another wall clock
         log.info("host %s is %s", ban.host, "out by hand" if ban.out else "used again")
         if ban.out:  # what ends with its connections is not to be sent there once more
             self.feed(ban)
--- a/calicomast/policy/fleet.py
+++ b/calicomast/policy/fleet.py
@@ -14,6 +14,7 @@
 
 from calicomast import interface as api
 from calicomast.policy.accounts import GAIN, QUICK, stable_hash
+from calicomast.policy.starts import StartTimes, later_start
 
 TICK = 0.02  # s; coarsest delay of a check on held requests and copies; far under any aim
 CONGESTED = 5.0  # requests held at a server, above which it holds more than it works on well
@@ -112,6 +113,7 @@
     def __init__(self, settings: api.Settings, rng: random.Random) -> None:
         self.rng, self.doubt, self.numbers = rng, Doubt(), itertools.count()
         self.servers: dict[str, Server] = {}
+        self.starts = StartTimes()
         self.gone: dict[str, float] = {}  # of these the ones not listed as up, since when
         self.up: list[Server] = []  # listed as up, and not banned
         self.ring: list[Server] = []  # the same in order of their places, which is one for all gateways
@@ -161,6 +163,7 @@
         bulk = whole or len(event.hosts) * BULK > len(self.up)
         for host in event.hosts:
             self.hear(now, host, bulk, event.total > 0)
+        self.starts.heard(now, event.mode)
         self.given = self.given if event.mode == "failed" else event.total
         if bulk:
             self.sort(now)
@@ -174,7 +177,8 @@
             self.leave(old)
         if old is None or (host.state == "up" and host.started > old.host.started):
             # Credit starts anywhere below one send: first sends of many gateways are spread over time.
-            self.know(Server(host, now, self.rng.random(), host.started), old)
+            began = self.starts.began(now, host, old.host if old else None, view)
+            self.know(Server(host, now, self.rng.random(), began), old)
         else:
             old.host, old.up = host, host.state == "up"
         server = self.servers[host.id]
@@ -196,12 +200,23 @@
         if event.out:
             self.banned[event.host] = event.at
         if old is not None and not event.out:
-            began = old.host.started if old.host.started > since else event.at
+            began = old.began if old.host.started > since else min(event.at, now)
             self.know(Server(old.host, now, self.rng.random(), began), old)
             self.servers[event.host].up = old.up
             self.enter(self.servers[event.host])
         self.refresh(now)
 
+    def clock_stepped(self, now: float, offset: float) -> None:
+        """The wall clock may be off by `offset` seconds: what is cold by either reading of it is cold."""
+        for server in self.up:
+            if server.host.started > 0:
+                server.began = later_start(
+                    now, server.began, server.host.started, offset, self.set.rules.cold_time
+                )
+                if server.warmth(now, self.set.rules) < 1.0:
+                    self.cold[server.host.id] = server
+        self.refresh(now)
+
     def enter(self, s: Server) -> None:
         if s.up and s.host.id not in self.banned:
             bisect.insort(self.up, s, key=BY_NUMBER)
--- a/calicomast/policy/gateway.py
+++ b/calicomast/policy/gateway.py
@@ -37,6 +37,8 @@
                 self.began(self.jobs[event.id], event)
             case api.Ban():
                 self.fleet.ban(now, event)
+            case api.ClockStepped():
+                self.fleet.clock_stepped(now, event.offset)
             case api.Drain():
                 self.draining = event.on
             case api.Retune():
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -215,3 +215,41 @@
             w.end(s)
     assert asked < 150  # few of these customers, all of them within their quotas, can be asked for
     assert sent > 250  # of 400
+
+
+HOUR, NOW = 3600.0, 1e6
+
+
+def warmth(world, name):
+    return world.gw.fleet.servers[name].warmth(world.now, world.conf.rules)
+
+
+@pytest.mark.parametrize("off", [-HOUR, HOUR])
+def test_a_start_that_is_news_is_new_whatever_the_clock_says(off):
+    """Of a host that restarts and of one that joins; `off`: by how much the gateway's clock is ahead."""
+    w = World(settings(plans=[BIG]), [host("h1"), host("h2", started=NOW - off - 500.0)], start=NOW)
+    w.do(api.HostList("full", 2, (host("h1"), host("h2", started=NOW - off - 500.0))))
+    w.now += 5.0
+    true = w.now - off - 1.0
+    w.do(api.HostList("delta", 3, (host("h2", started=true), host("h3", started=true))))
+    assert warmth(w, "h2") == warmth(w, "h3") == w.conf.rules.cold_share
+    w.now += w.conf.rules.cold_time
+    assert warmth(w, "h2") == warmth(w, "h3") == 1.0
+
+
+def test_what_a_first_list_or_a_view_names_may_have_run_for_long():
+    w = World(settings(plans=[BIG]), [host("h1", started=NOW - HOUR)], start=NOW)
+    w.do(api.HostList("full", 2, (host("h1", started=NOW - HOUR), host("h2", started=1.0)), 50))
+    w.do(api.HostList("delta", 3, (host("h3", started=NOW - HOUR),), 50))
+    assert warmth(w, "h1") == warmth(w, "h2") == warmth(w, "h3") == 1.0
+
+
+def test_a_clock_that_steps_leaves_no_host_warmer_than_either_reading_has_it():
+    w = World(
+        settings(plans=[BIG]), [host("h1", started=NOW - HOUR - 2.0), host("h2", started=10.0)], start=NOW
+    )
+    assert warmth(w, "h1") == 1.0
+    w.do(api.ClockStepped(-HOUR))
+    assert abs(warmth(w, "h1") - 0.36) < 1e-9 and warmth(w, "h2") == 1.0
+    w.do(api.ClockStepped(0.0))
+    assert abs(warmth(w, "h1") - 0.36) < 1e-9
