Quotas hold whatever the wall clocks say: the fleet's time is agreed on by the counter

Cause: windows of quotas are named by each machine's wall clock (Account.window over Clock in net/gateway.py), so a gateway whose clock is off leases from names of its own. 234 served where 120 are the quota, an hour ahead or behind. The counter forgets a name a fixed time after it was made, a moment that all who watch it share. One name holds the fleet's time; a gateway that starts compares, and one that contradicts watches for the name's end and takes the fleet's time, before it says that it is ready. Confirmed gateways yield to nobody. Accounts name windows by that time. Only where net/ asks for it (CheckClock): the simulator's clocks are one. Calls: one a second over the whole fleet at most, whatever its size (counted over 200 s of virtual time, 2 to 60 gateways), three at a start. Not taken: names without time and the counter's expiry as the window: every gateway's place in its window would change, and the recorded decisions with it.

--- a/calicomast/adapter.py
+++ b/calicomast/adapter.py
@@ -140,6 +140,7 @@
     api.Fetch: lambda i, a: f"PULL i={i}",
     api.Watch: lambda i, a: f"WATCH i={i} active={int(a.on)}",
     api.Widen: lambda i, a: f"REMARK i={i} words=a view of {a.hosts} hosts is wanted",  # lists here are whole
+    api.Synchronizing: lambda i, a: f"REMARK i={i} words=synchronizing: {a.on}",  # its clock needs none
     api.Log: lambda i, a: f"REMARK i={i} words={a.text}",
 }
 
--- a/calicomast/interface.py
+++ b/calicomast/interface.py
@@ -254,6 +254,11 @@
     offset: float  # s by which the wall clock is ahead of the clock of events now
 
 
+@dataclass(frozen=True, slots=True)
+class CheckClock:
+    """The clock comes from a machine's wall clock, so the fleet's time has to be agreed on by the counter."""
+
+
 @dataclass(frozen=True, slots=True)
 class Retune:
     """Settings for the requests that come from now on."""
@@ -273,6 +278,7 @@
     | Message
     | Ban
     | Drain
+    | CheckClock
     | ClockStepped
     | Retune
 )
@@ -344,9 +350,31 @@
     hosts: int
 
 
+@dataclass(frozen=True, slots=True)
+class Synchronizing:
+    """Whether this gateway's clock is known to be another than the fleet's, and is being set. Said after the
+    first look at the fleet's time, and with each change."""
+
+    on: bool
+
+
 @dataclass(frozen=True, slots=True)
 class Log:
     text: str
 
 
-Action = Send | Refuse | Fail | Cancel | Count | SetTimer | Probe | Close | Fetch | Watch | Widen | Log
+Action = (
+    Send
+    | Refuse
+    | Fail
+    | Cancel
+    | Count
+    | SetTimer
+    | Probe
+    | Close
+    | Fetch
+    | Watch
+    | Widen
+    | Synchronizing
+    | Log
+)
--- a/calicomast/net/counter.py
+++ b/calicomast/net/counter.py
@@ -207,6 +207,8 @@
 
     def start(self) -> None:
         loop = asyncio.get_running_loop()
+        for line in self.lines:  # what is called at once waits for the first connection
+            line.coming = []
         work = [*(line.keep() for line in self.lines), self.checks()]
         self.tasks = [loop.create_task(one) for one in work]
 
--- a/calicomast/net/gateway.py
+++ b/calicomast/net/gateway.py
@@ -15,6 +15,7 @@
 import time
 from collections import deque
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import replace
 from functools import partial
 from typing import Any
@@ -23,6 +24,7 @@
 from calicomast.base.listing import Address, Listing, write_address
 from calicomast.net.bans import Bans, UnknownHost
 from calicomast.net.clients import ClientServer, Slot
+from calicomast.net.clock import Clock
 from calicomast.net.config import Config
 from calicomast.net.counter import Counter
 from calicomast.net.discovery import Discovery
@@ -45,7 +47,7 @@
 FINISH = 0.4  # s past that, by which everything is answered
 TURN = 0.02  # s between looks whether all has ended
 LOOK = 0.25  # s between looks at the wall clock and at what other processes of this gateway did
-CLOCK_STEP = 0.25  # s; a wall clock that moves by more between two looks has been stepped
+CLOCK_CHECK = 0.1  # s that a start waits for the counter to tell the fleet's time
 
 NUMBER = re.compile(rb"(?:[0-9]+\.?[0-9]*|\.[0-9]+)(?:[eE][+-]?[0-9]+)?").fullmatch
 CUSTOMER = re.compile(rb"[0-9a-fA-F]{16}").fullmatch
@@ -63,22 +65,6 @@
         return int(file.read().split()[1]) * resource.getpagesize()
 
 
-class Clock:
-    """Seconds that never step: Unix time by the wall clock at the start, and monotonic from there on."""
-
-    def __init__(self) -> None:
-        self.zero = time.time() - time.monotonic()
-        self.wall_offset = 0.0  # s by which the wall clock was ahead of this one when it was last read
-
-    def __call__(self) -> float:
-        return self.zero + time.monotonic()
-
-    def wall_stepped(self) -> bool:
-        """Whether the wall clock has stepped since the last call."""
-        last, self.wall_offset = self.wall_offset, time.time() - self()
-        return abs(self.wall_offset - last) > CLOCK_STEP
-
-
 class Work:
     """A request that was taken: where its answer goes, what goes to hosts, and what is out for it."""
 
@@ -123,16 +109,21 @@
 
 class GatewayNode:
     def __init__(self, config: Config) -> None:
-        self.config, self.settings, self.clock = config, config.settings, Clock()
+        self.config, self.settings = config, config.settings
+        self.clock = Clock(config.scratch if config.control or config.keep else None, config.name)
         self.loop = asyncio.get_running_loop()
         self.module = Gateway(config.settings, config.seed, self.clock())
         self.works: dict[str, Work] = {}
         self.held = 0  # bytes of bodies in work
         self.events: deque[api.Event] = deque()
         self.feeding = self.ready = False
+        # Whether this gateway may have another time than the fleet, as far as is known.
+        self.synchronizing = config.counter is not None and config.settings.gateways > 1
+        self.clock_checked = asyncio.Event()  # whether it has been compared, as far as the counter answers
         self.state = "active"  # or standby: clients are sent away; or stopping, which is for good
         self.bans, self.lives = Bans(config.scratch, config.name), Lives(config.scratch, config.name)
         self.said: dict[str, api.Ban] = {}  # the last word on each host that an operator had one on
+        self.unkept: dict[str, api.Ban] = {}  # of these, what could not be written down yet
         self.known: set[str] = set()  # hosts of the last list
         self.looking: asyncio.TimerHandle | None = None
         self.clients = ClientServer(self, 0)
@@ -171,6 +162,7 @@
             api.Fetch: lambda a: self.discovery.fetch(),
             api.Widen: lambda a: self.discovery.widen(a.hosts),
             api.Watch: lambda a: self.discovery.watch(a.on),
+            api.Synchronizing: self.synchronized,
             api.Log: lambda a: log.info("module: %s", a.text),
         }
 
@@ -192,6 +184,7 @@
 
         config = self.config
         made = Replicas(address, config.others, config.scratch if config.keep else None, config.name, *args)
+        made.clock = self.clock
         self.first = made.recall() or self.first
         return made
 
@@ -210,6 +203,7 @@
         self.hosts.start_checks()
         if self.counter:
             self.counter.start()
+            await self.check_clock()
         if self.settings.discovery == "push":
             self.discovery.watch(True)
         if self.agent_grace(self.settings) is not None:  # what it has counts as told from the first moment
@@ -230,6 +224,8 @@
         if self.clock.wall_stepped():
             log.warning("the wall clock is %+.1f s off since this process began", self.clock.wall_offset)
             self.feed(api.ClockStepped(self.clock.wall_offset))
+        with suppress(OSError):
+            self.keep_bans()
         self.read_bans()
         if self.control:
             self.changes.look()
@@ -304,7 +300,11 @@
         self.feed(listing.hosts)
         for host in (named if listing.hosts.mode == "delta" else named | self.hosts.pools.keys()) - up:
             self.hosts.listed(host, None)
-        self.ready = self.ready or bool(self.hosts.pools)
+        self.become_ready()
+
+    def become_ready(self) -> None:
+        """For good, once there are hosts and the fleet's time is known as far as the counter tells it."""
+        self.ready = self.ready or bool(self.hosts.pools) and not self.synchronizing
 
     def list_failed(self) -> None:
         if self.settings.discovery == "ask":
@@ -547,6 +547,22 @@
         else:
             self.feed(api.Timer(label))
 
+    def synchronized(self, action: api.Synchronizing) -> None:
+        self.synchronizing = action.on
+        self.clock_checked.set()
+        self.become_ready()
+
+    async def check_clock(self) -> None:
+        """Compares this clock with the fleet's; waits for CLOCK_CHECK at most: the counter may be silent."""
+        self.feed(api.CheckClock())
+        if not self.synchronizing:
+            return
+        try:
+            async with asyncio.timeout(CLOCK_CHECK):
+                await self.clock_checked.wait()
+        except TimeoutError:
+            self.synchronized(api.Synchronizing(False))
+
     # Reconfiguration
 
     def changed(self) -> Any:
@@ -630,7 +646,11 @@
         return told
 
     def hand(self, host: str, out: bool) -> None:
-        """Takes a host out, or lets it be used again. A repeat changes nothing."""
+        """Takes a host out, or lets it be used again. A repeat changes nothing.
+
+        Raises UnknownHost, and OSError where it cannot be kept for processes beside and after this one. It
+        is in force here all the same, whatever the operator hears, and is kept once it can be.
+        """
         self.read_bans()
         if host not in self.known and host not in self.said and not self.discovery.holds(host):
             raise UnknownHost(host)
@@ -638,7 +658,14 @@
             return
         ban = api.Ban(host, out, self.clock())
         self.ban(ban)
-        self.bans.say(ban)
+        self.unkept[host] = ban
+        self.keep_bans()
+
+    def keep_bans(self) -> None:
+        """Writes down what operators said here and could not be kept so far. Raises OSError."""
+        for host, ban in list(self.unkept.items()):
+            self.bans.say(ban)
+            del self.unkept[host]
 
     def ban(self, ban: api.Ban) -> None:
         if self.said.get(ban.host) == ban:
--- a/calicomast/net/replicas.py
+++ b/calicomast/net/replicas.py
@@ -11,6 +11,7 @@
 import json
 import logging
 import time
+from collections.abc import Callable
 from dataclasses import replace
 from pathlib import Path
 from typing import Any
@@ -32,7 +33,10 @@
 
 
 class Replicas(Discovery):
-    """`folder` is where the list is kept; None: nowhere."""
+    """`folder` is where the list is kept; None: nowhere. `clock` times it, in seconds that the process which
+    reads it later can compare."""
+
+    clock: Callable[[], float] = staticmethod(time.time)
 
     def __init__(
         self, address: Address, others: tuple[Address, ...], folder: Path | None, name: str, *args: Any
@@ -58,7 +62,7 @@
         if not listing.hosts.hosts:
             return None
         self.note(listing)
-        self.heard = time.monotonic() - max(0.0, time.time() - at)
+        self.heard = time.monotonic() - max(0.0, self.clock() - at)
         if not self.viewing or self.viewing.resume(told.get("query")):
             self.version = self.newest
         else:
@@ -121,7 +125,7 @@
             }
             for h, address in self.list.values()
         ]
-        heard = time.time() - (self.age() or 0.0)
+        heard = self.clock() - (self.age() or 0.0)
         try:
             with self.kept.locked():
                 self.kept.write(
--- a/calicomast/policy/accounts.py
+++ b/calicomast/policy/accounts.py
@@ -43,13 +43,23 @@
 
 
 class Account:
-    def __init__(self, req: api.Request, plan: api.Plan, born: float, now: float, rng: random.Random) -> None:
+    def __init__(
+        self,
+        req: api.Request,
+        plan: api.Plan,
+        born: float,
+        now: float,
+        rng: random.Random,
+        offset: float = 0.0,
+    ) -> None:
+        """`offset`: s by which the fleet's time, which names the windows, is ahead of `now`."""
         self.name, self.plan, self.spread, self.open_here = req.customer, plan, req.spread, 0
         self.thin = 0 < plan.burst < self.spread  # an even part of the burst is less than a unit
         self.length = plan.burst / plan.rate if plan.rate else 1.0
         self.phase = stable_hash(self.name, "phase") % 4096 / 4096 * self.length
+        self.offset = offset
         self.k = self.window(now)
-        self.start = self.k * self.length + self.phase
+        self.start = self.window_start(self.k)
         self.lease = self.uncharged = self.adrift = self.put = 0.0  # adrift: charged on calls without answer
         self.total = self.debt = self.used = self.last_used = 0.0
         self.owed_at = now
@@ -61,7 +71,11 @@
         self.cap_at, self.cap = now, min(plan.ceiling_burst, (now - born) * plan.ceiling_rate) / self.spread
 
     def window(self, now: float) -> int:
-        return math.floor((now - self.phase) / self.length)
+        return math.floor((now + self.offset - self.phase) / self.length)
+
+    def window_start(self, window: int) -> float:
+        """When it begins, by the module's clock."""
+        return window * self.length + self.phase - self.offset
 
     def roll(self, now: float) -> None:
         """Turn to the window of `now`: leases lapse; what passed the burst is carried as debt."""
@@ -70,7 +84,7 @@
             return
         debt = max(0.0, self.total + self.uncharged * self.spread - self.plan.burst * (k - self.k))
         self.last_used = self.used if k == self.k + 1 else 0.0
-        self.k, self.start = k, k * self.length + self.phase
+        self.k, self.start = k, self.window_start(k)
         self.lease = self.uncharged = self.adrift = self.put = self.used = self.full_until = 0.0
         self.total, self.debt, self.dice = debt, debt, self.rng.random()
         self.carried = self.others = 0.0
@@ -126,12 +140,13 @@
         self.retune(settings)
         self.fails, self.retry_at = int(not self.on), 0.0
         self.slow = 0.5 * settings.gateways / (settings.gateways + CROWD_OF)  # many start as in a crowd
+        self.wrong_time = False  # counts by this gateway's time would be another window's for the rest
 
     def retune(self, settings: api.Settings) -> None:
         self.on, self.timeout, self.price = settings.counter, settings.counter_timeout, settings.counter_price
 
     def usable(self, now: float) -> bool:
-        return self.on and (now >= self.retry_at or self.fails < SILENT_AT)
+        return self.on and not self.wrong_time and (now >= self.retry_at or self.fails < SILENT_AT)
 
     def chance(self, gain: float) -> float:
         """Chance that a call is made: the less it can change the decision, the sooner it gives way."""
--- a/calicomast/policy/gateway.py
+++ b/calicomast/policy/gateway.py
@@ -9,6 +9,7 @@
 from calicomast import interface as api
 from calicomast.policy.accounts import GAIN, PlanUse
 from calicomast.policy.fleet import TICK
+from calicomast.policy.fleet_time import BEACON, LIFETIME
 from calicomast.policy.quota import Quota
 from calicomast.policy.work import GRANT_PRIOR, IDLE_MOST, Job
 
@@ -23,6 +24,8 @@
                 self.request(now, event)
             case api.Outcome():
                 self.outcome(now, event)
+            case api.Counted(name=name) if name == BEACON:
+                self.fleet_time_counted(now, event)
             case api.Counted():
                 self.counted(now, event)
             case api.Timer():
@@ -37,6 +40,8 @@
                 self.began(self.jobs[event.id], event)
             case api.Ban():
                 self.fleet.ban(now, event)
+            case api.CheckClock() if self.counter.on:
+                self.fleet_time.start(now)
             case api.ClockStepped():
                 self.fleet.clock_stepped(now, event.offset)
             case api.Drain():
@@ -51,17 +56,34 @@
             self.fleet.wish = 0
         while self.due and self.due[0][1] not in self.jobs:
             heapq.heappop(self.due)
-        at = min(self.due[0][0] if self.due else math.inf, self.watch_at)
+        if now >= self.fleet_time.due:
+            self.out.append(api.Count(BEACON, self.fleet_time.call(now), LIFETIME))
+        at = min(self.due[0][0] if self.due else math.inf, self.watch_at, self.fleet_time.due)
         if at < self.timer_at:  # what is due next; nothing when idle
             self.timer_at = at
             self.out.append(api.SetTimer(max(0.0, at - now), 0))
         return self.out
 
+    def fleet_time_counted(self, now: float, event: api.Counted) -> None:
+        """Windows are named by the fleet's time; where that is another than here, hosts' starts are, too."""
+        time, before, first = self.fleet_time, self.fleet_time.offset, not self.time_checked
+        if event.result == "late":
+            return
+        self.time_checked = True
+        time.counted(now, event.result == "ok", event.total)
+        if first or time.synchronizing != self.counter.wrong_time:
+            self.out.append(api.Synchronizing(time.synchronizing))
+        self.counter.wrong_time = time.synchronizing
+        if time.offset != before:
+            self.out.append(api.Log(f"the fleet's time is {time.offset:+.1f} s from this gateway's"))
+            self.fleet.clock_stepped(now, time.offset)
+
     def retune(self, now: float, settings: api.Settings) -> None:
         """For what comes from now on: a job keeps its class, its plan and the limits that it began with."""
         self.set = settings
         self.fleet.retune(settings)
         self.counter.retune(settings)
+        self.fleet_time.gateways = settings.gateways
         for key in itertools.product(settings.plans, (0, 1)):
             self.uses.setdefault(key, PlanUse(now, GRANT_PRIOR[key[1]]))
         self.top = max(c.worth for c in settings.classes.values())
@@ -69,7 +91,7 @@
     def request(self, now: float, req: api.Request) -> None:
         cls, plan = self.set.classes[req.cls], self.set.plans[req.plan]
         acct = self.accounts.pop(req.customer, None)
-        if acct is None or acct.plan != plan:
+        if acct is None or acct.plan != plan or acct.offset != self.fleet_time.offset:
             acct = self.account(now, req, plan, acct)
         self.accounts[req.customer], acct.seen_at = acct, now
         oldest = next(iter(self.accounts.values()))
--- a/calicomast/policy/quota.py
+++ b/calicomast/policy/quota.py
@@ -23,16 +23,17 @@
     """The design's mechanism: leases by adds on the counter, and the light customers' allowance."""
 
     def account(self, now: float, req: api.Request, plan: api.Plan, old: Account | None) -> Account:
-        """A new customer's, or one whose plan has changed: windows of one length go on, whatever else did."""
-        fresh = Account(req, plan, self.born, now, self.rng)
+        """A new customer's, or one whose plan or whose time has changed: the same windows go on."""
+        fresh = Account(req, plan, self.born, now, self.rng, self.fleet_time.offset)
         if old is None:
             return fresh
         old.roll(now)
-        if math.isclose(fresh.length, old.length):
+        if math.isclose(fresh.length, old.length) and fresh.offset == old.offset:
             old.plan, old.thin = plan, 0 < plan.burst < old.spread
             return old
         past = [a for a in (*old.past, old) if a.open_here or a.call or a.window(now) == a.k]
-        left = [a for a in past if math.isclose(a.length, fresh.length) and a.window(now) == a.k]
+        same = [a for a in past if math.isclose(a.length, fresh.length) and a.offset == fresh.offset]
+        left = [a for a in same if a.window(now) == a.k]
         if left:
             fresh = left[0]
             fresh.plan, fresh.thin = plan, 0 < plan.burst < fresh.spread
@@ -207,7 +208,7 @@
             and self.counter.usable(now)
             and (self.rng.random() < self.counter.chance(max(over, SIDE_CALL) * cost))
         ):
-            self.count_open(acct, int(now / OPEN_EPOCH) + 1, 1, job)
+            self.count_open(acct, int((now + self.fleet_time.offset) / OPEN_EPOCH) + 1, 1, job)
             self.look(job.deadline, job)
             return
         elif plan.open_limit and (plan.open_limit >= acct.spread or over * cost >= 1 - over):
--- a/calicomast/policy/work.py
+++ b/calicomast/policy/work.py
@@ -10,6 +10,7 @@
 from calicomast import interface as api
 from calicomast.policy.accounts import Account, Call, Counter, PlanUse, stable_hash
 from calicomast.policy.fleet import TICK, Fleet
+from calicomast.policy.fleet_time import FleetTime
 
 GRANT_PRIOR = (0.5, 0.3)  # share of first tries and of repeats taken to be granted, before any was
 OPEN_EPOCH, IDLE_MOST = 5.0, 60.0  # s; life of a count of open attempts, and of an idle account
@@ -50,6 +51,7 @@
 
     def __init__(self, settings: api.Settings, seed: int, now: float) -> None:
         self.set, self.born, self.rng = settings, now, random.Random(seed)
+        self.fleet_time = FleetTime(settings.gateways, self.rng)
         self.fleet, self.counter = Fleet(settings, self.rng), Counter(settings)
         self.uses = {(p, again): PlanUse(now, GRANT_PRIOR[again]) for p in self.set.plans for again in (0, 1)}
         self.accounts: dict[str, Account] = {}  # in order of their last request
@@ -60,6 +62,7 @@
         self.top = max(c.worth for c in settings.classes.values())
         self.due: list[tuple[float, str]] = []  # when which job is to be looked at
         self.timer_at = self.watch_at = math.inf
+        self.time_checked = False  # whether the counter has been asked for the fleet's time
         self.draining = False  # clients are sent away: leases sought ahead would lapse unused
         self.pass_share, self.pass_at, self.worth = 1.0, now, 0.0  # worth: running mean of a request's
         self.ranks: list[float] = []  # values of the latest requests
--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -175,6 +175,7 @@
         "calicomast.net.__main__",
         "calicomast.net.bans",
         "calicomast.net.clients",
+        "calicomast.net.clock",
         "calicomast.net.config",
         "calicomast.net.counter",
         "calicomast.net.descriptors",
@@ -188,7 +189,17 @@
         "calicomast.policy",
         *(
             f"calicomast.policy.{name}"
-            for name in ("accounts", "attempts", "fleet", "gateway", "quota", "shedding", "work")
+            for name in (
+                "accounts",
+                "attempts",
+                "fleet",
+                "fleet_time",
+                "gateway",
+                "quota",
+                "shedding",
+                "starts",
+                "work",
+            )
         ),
         "calicomast.settings",
     ]
--- /dev/null
+++ b/tests/test_fleet_time.py
@@ -0,0 +1,112 @@
+"""Gateways with different clocks agree on one time by a counter that forgets names after their life."""
+
+import random
+
+import pytest
+
+from calicomast.policy.fleet_time import LIFETIME, FleetTime, wrapped
+
+HOUR = 3600.0
+TICK = 0.01  # s of virtual time
+
+
+class Beacon:
+    """The counter's number: forgotten a fixed time after it was made."""
+
+    def __init__(self):
+        self.total, self.ends, self.calls = 0.0, 0.0, 0
+
+    def add(self, now, amount):
+        self.calls += 1
+        if now >= self.ends:
+            self.total, self.ends = 0.0, now + LIFETIME
+        self.total = round(self.total + amount, 1)
+        return self.total
+
+
+class Fleet:
+    def __init__(self, seed, clocks, starts=None):
+        self.rng, self.now, self.beacon = random.Random(seed), 0.0, Beacon()
+        self.members = []
+        for clock, start in zip(clocks, starts or [0.0] * len(clocks), strict=True):
+            self.members.append([FleetTime(len(clocks), random.Random(self.rng.random())), clock, start])
+        self.down = lambda now: False
+
+    def run(self, until):
+        while self.now < until:
+            self.now += TICK
+            for member in self.members:
+                time, clock, start = member
+                if start is not None and self.now >= start:
+                    time.start(self.now + clock)
+                    member[2] = None
+                while time.due <= self.now + clock:
+                    amount = time.call(self.now + clock)
+                    ok = not self.down(self.now)
+                    total = self.beacon.add(self.now, amount) if ok else 0.0
+                    time.counted(self.now + clock, ok, total)
+
+    def spread(self):
+        """The largest difference of two gateways' times."""
+        times = [self.now + clock + time.offset for time, clock, _ in self.members]
+        return max(abs(wrapped(a - times[0])) for a in times)
+
+
+def clocks_of(count, wrong, off, rng):
+    clocks = [rng.uniform(-0.05, 0.05) for _ in range(count)]
+    for at in rng.sample(range(count), wrong):
+        clocks[at] += off
+    return clocks
+
+
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("off", [-HOUR, -2.0, 0.5, 3.0, HOUR, 40_000.0])
+@pytest.mark.parametrize("count, wrong", [(2, 1), (3, 1), (5, 2), (30, 1)])
+def test_all_have_one_time_soon_however_far_the_clocks_of_some_are_off(count, wrong, off, seed):
+    rng = random.Random(seed)
+    fleet = Fleet(seed, clocks_of(count, wrong, off, rng), [rng.uniform(0, 1.0) for _ in range(count)])
+    fleet.run(30.0 + 2 * count)
+    assert fleet.spread() <= 0.6
+    assert not any(time.synchronizing for time, _, _ in fleet.members)
+
+
+@pytest.mark.parametrize("seed", range(8))
+@pytest.mark.parametrize("off", [-HOUR, -2.0, 3.0, HOUR])
+def test_one_that_starts_with_a_wrong_clock_yields_to_those_that_run(off, seed):
+    rng = random.Random(seed)
+    count = 2 + seed
+    fleet = Fleet(seed, clocks_of(count, 0, 0.0, rng), [0.0] * (count - 1) + [60.0])
+    fleet.members[-1][1] += off
+    fleet.run(59.0)
+    before = [time.offset for time, _, _ in fleet.members[:-1]]
+    fleet.run(61.0 + 4 * LIFETIME)
+    assert [time.offset for time, _, _ in fleet.members[:-1]] == before
+    assert fleet.spread() <= 0.6
+
+
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("count", [2, 10, 60])
+def test_with_right_clocks_nobody_moves_and_few_calls_are_made(count, seed):
+    rng = random.Random(seed)
+    fleet = Fleet(seed, clocks_of(count, 0, 0.0, rng), [rng.uniform(0, 0.5) for _ in range(count)])
+    fleet.run(60.0)
+    settled = fleet.beacon.calls
+    assert settled <= 8 * count + 40
+    assert all(time.offset == 0.0 for time, _, _ in fleet.members)
+    fleet.run(260.0)
+    assert fleet.beacon.calls - settled <= 200 * 1.0  # a call a second, over the whole fleet
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_counter_that_is_away_now_and_then_delays_and_does_not_mislead(seed):
+    rng = random.Random(seed)
+    fleet = Fleet(seed, clocks_of(4, 1, HOUR, rng))
+    fleet.down = lambda now: now % 10 < 3
+    fleet.run(120.0)
+    assert fleet.spread() <= 0.6
+
+
+def test_a_single_gateway_makes_no_calls():
+    fleet = Fleet(1, [HOUR])
+    fleet.run(20.0)
+    assert fleet.beacon.calls == 0
--- a/tests/test_quota_fleet.py
+++ b/tests/test_quota_fleet.py
@@ -20,9 +20,11 @@
     until,
 )
 
+from calicomast.net.clock import Clock
 from calicomast.net.config import read_config
-from calicomast.net.gateway import Clock, GatewayNode
+from calicomast.net.gateway import GatewayNode
 from calicomast.policy.accounts import stable_hash
+from calicomast.policy.fleet_time import BEACON
 from calicomast.standins.service import Faults
 
 GATEWAYS, RATE, BURST = 4, 2.0, 24.0
@@ -68,6 +70,7 @@
         file.write_text(json.dumps(told(listed, discovery, self.counter.port, settings | {"index": n})))
         node = GatewayNode(read_config({"RELAY_CONFIG": str(file)}))
         node.clock = self.clock
+        node.module.fleet_time.start = lambda now: None  # one clock for all, which the parts move on by hand
         bear(node, 1000.0)  # hosts have room for all
         node.module.fleet.full = lambda *_: False
         node.port = await node.start()
@@ -109,6 +112,10 @@
         """On to where so much of a window is left."""
         self.clock.zero += (self.window() - left) % LENGTH
 
+    def leases_asked(self):
+        """Calls to the counter, but for those that tell the fleet's time."""
+        return sum(words[1] != b"%d" % BEACON for words in self.counter.calls)
+
     @property
     def beyond(self):
         """In bursts of the quota."""
@@ -125,8 +132,9 @@
     count has, and hears of it in the new one."""
     fleet.to(EDGE)
     fleet.counter.silent = True
+    before = fleet.leases_asked()
     crowd = asyncio.create_task(fleet.crowd(60))
-    await until(lambda: len(fleet.counter.held) == GATEWAYS)
+    await until(lambda: fleet.leases_asked() - before == GATEWAYS)
     fleet.clock.zero += fleet.window()
     fleet.counter.silent = False
     fleet.counter.answer_all()
