--- a/calicomast/net/lives.py
+++ b/calicomast/net/lives.py
@@ -16,7 +16,7 @@
     """Each process holds the lock of a file of its own, which ends with it however it ends."""
 
     def __init__(self, folder: Path | None, name: str) -> None:
-        self.folder, self.prefix = folder, f"{name}-life-"
+        self.folder, self.name, self.prefix = folder, name, f"{name}-life-"
         self.lock, self.path = -1, ""
         self.known = 0  # others at the last look
 
@@ -24,8 +24,11 @@
         if self.folder is None:
             return
         try:
-            self.lock, self.path = tempfile.mkstemp(prefix=self.prefix, dir=self.folder)
+            # Locked before it has the name by which others look for it: they would remove it as a dead one's.
+            self.lock, made = tempfile.mkstemp(prefix=f"{self.name}-starting-", dir=self.folder)
             fcntl.flock(self.lock, fcntl.LOCK_EX)
+            self.path = str(self.folder / (self.prefix + made.rpartition("-")[2]))
+            os.rename(made, self.path)
         except OSError as err:  # it serves all the same, unseen by others
             log.error("%s: %s", self.folder, err)
 
--- a/tests/test_net_bans.py
+++ b/tests/test_net_bans.py
@@ -1,11 +1,14 @@
 """The file of hosts out by hand, and which processes live."""
 
+import errno
 import os
+import tempfile
 
 import pytest
 from netkit import Node, StubHost, entry, on_loop, until
 
 from calicomast import interface as api
+from calicomast.net import bans
 from calicomast.net.bans import Bans
 from calicomast.net.lives import Lives
 
@@ -76,6 +79,42 @@
     assert none.others() == 0 and not list(tmp_path.iterdir())
 
 
+def test_a_process_that_begins_is_never_taken_for_a_dead_one(tmp_path, monkeypatch):
+    """Another looks just when its file is made: it would remove one that nobody has locked yet."""
+    other, fresh = Lives(tmp_path, "n0"), Lives(tmp_path, "n0")
+    other.begin()
+    mkstemp = tempfile.mkstemp
+
+    def seen_at_once(**more):
+        made = mkstemp(**more)
+        assert other.others() == 0
+        return made
+
+    with monkeypatch.context() as patch:
+        patch.setattr(tempfile, "mkstemp", seen_at_once)
+        fresh.begin()
+    assert other.others() == fresh.others() == 1
+    fresh.end()
+    other.end()
+    assert not list(tmp_path.iterdir())
+
+
+@on_loop
+async def test_a_ban_that_cannot_be_kept_holds_here_and_is_kept_once_it_can_be(tmp_path, monkeypatch):
+    """A folder is full for a while: the operator hears so, and the next process knows of it all the same."""
+    async with StubHost() as one, StubHost() as two, Node(one, two, path=tmp_path) as node:
+        with monkeypatch.context() as patch:
+            patch.setattr(bans.Kept, "write", full)
+            assert (await node.call("POST /maintenance/enter?host=h1"))[0] == 500
+            assert "h1" in node.node.hosts.out and not Bans(tmp_path, "n0").read()
+        await until(lambda: Bans(tmp_path, "n0").read().get("h1"))
+        assert not node.node.unkept and Bans(tmp_path, "n0").read()["h1"].out
+
+
+def full(*_):
+    raise OSError(errno.ENOSPC, "No space left on device")
+
+
 @on_loop
 async def test_hosts_that_have_gone_are_forgotten_but_for_those_with_a_ban(tmp_path):
     async with StubHost() as host, Node(host, path=tmp_path) as node:
