--- /dev/null
+++ b/tests/injected/planted.py
@@ -0,0 +1,82 @@
+"""Bugs that are planted in a gateway's process, each of which the soak has to catch."""
+
+import os
+import threading
+from dataclasses import replace
+
+from calicomast.net import clients, gateway
+from calicomast.policy import attempts, fleet
+from calicomast.policy import quota as quota_layer
+
+
+def lost():
+    """One answer in fifty is never written."""
+    reply, count = clients.Slot.reply, 0
+
+    def forgetful(self, answer):
+        nonlocal count
+        count += 1
+        if count % 50 or answer.startswith(b"+"):
+            reply(self, answer)
+
+    clients.Slot.reply = forgetful
+
+
+def duplicate():
+    """What may have run is sent again, whatever its class."""
+    attempts.Attempts.fits = lambda self, job, s, now: s.host.id not in job.avoid
+    attempts.Attempts.window = lambda self, now, job: 1e9
+
+
+def drain():
+    """Hosts that are told to leave are used on."""
+    listed = gateway.GatewayNode.listed
+
+    def deaf(self, listing):
+        up = tuple(replace(host, state="up") for host in listing.hosts.hosts)
+        listed(self, replace(listing, hosts=replace(listing.hosts, hosts=up)))
+
+    gateway.GatewayNode.listed = deaf
+
+
+def failback():
+    """Every host counts as warm."""
+    fleet.Server.warmth = lambda self, now, rules: 1.0
+    fleet.LIMIT_MOST = 100.0
+
+
+def gone():
+    """Nobody hears that a client has gone."""
+    gateway.GatewayNode.gone = lambda self, slot: None
+
+
+def deadline():
+    """Hosts are told of a second more than the client has left."""
+    payload = gateway.Work.payload
+    gateway.Work.payload = lambda self, left: payload(self, left + 1.0)
+
+
+def quota():
+    """Each process has windows of its own at the counter."""
+    name = quota_layer.stable_hash
+    quota_layer.stable_hash = lambda *parts: name(*parts, os.getpid())
+
+
+def crash():
+    threading.Timer(4.0, os._exit, (3,)).start()
+
+
+PLANTED = {
+    "lost": lost,
+    "duplicate": duplicate,
+    "drain": drain,
+    "failback": failback,
+    "gone": gone,
+    "deadline": deadline,
+    "quota": quota,
+    "crash": crash,
+}
+
+
+def plant(name):
+    PLANTED[name]()
