Shutdown as a module of its own; what is read as time runs out is no longer forwarded

Cause: when time was up, GatewayNode.stop failed all in flight and closed all connections one turn of the loop later; a command that was read in that turn went out to a host, and its connection closed with no answer. Forced by half a command whose rest comes in that turn. Ruled out: unread bytes at the close (nothing is forwarded of these), SIGKILL (the process had ended by itself). Change: net/shutdown.py has the sequence, a step a function. As time runs out no connection is read, what was read and waits for its turn is refused, and nothing more is forwarded.

--- a/calicomast/net/admission.py
+++ b/calicomast/net/admission.py
@@ -12,6 +12,7 @@
 import asyncio
 import ipaddress
 import logging
+import math
 import socket
 import struct
 from collections import OrderedDict, deque
@@ -344,6 +345,10 @@
             self.flush()
         return spent, self.unlooked and self.may()
 
+    def take_waiting(self) -> None:
+        self.window = math.inf
+        self.serve(math.inf)
+
     def eof_received(self) -> bool:
         """The client sends nothing more. True: the transport stays open for the answers, where that is asked
         for; one that has closed as a whole is found out by the first of them."""
--- a/calicomast/net/clients.py
+++ b/calicomast/net/clients.py
@@ -214,6 +214,9 @@
         self.reader.pass_on(self.body.add)
         self.commands()
 
+    def take_waiting(self) -> None:
+        """Takes at once what was read and waits for its turn: nothing, where commands have no turns."""
+
     def check(self, now: float) -> bool:
         """Ends one that takes too long. False: nothing of it has a time now."""
         if self.write_shut is not None:
@@ -592,6 +595,13 @@
         if self.drained_at is None:
             self.drain(True)
 
+    def stop_reading(self) -> None:
+        """Nothing that comes from here on is read, on any connection; what was read already is taken now."""
+        for client in list(self.clients):
+            client.last = True
+            self.alone(client, client.throttle)
+            self.alone(client, client.take_waiting)
+
     def close(self) -> None:
         """Whatever is still open ends here."""
         if self.sweeping:
--- a/calicomast/net/gateway.py
+++ b/calicomast/net/gateway.py
@@ -31,6 +31,7 @@
 from calicomast.net.hosts import Attempt, Hosts
 from calicomast.net.lives import Lives
 from calicomast.net.resp import MOST_LARGE
+from calicomast.net.shutdown import shut_down
 from calicomast.policy import Gateway
 
 WAY_BACK = 0.03  # s before the client gives up by which the module is to be done
@@ -41,11 +42,6 @@
 PROCESS = 32 * 1024 * 1024  # bytes that a process takes by itself
 BODIES = 0.5  # part of the rest for large bodies: connections and pieces of values take some, too
 SPARE_SOCKETS = 64  # descriptors that are neither clients' nor hosts' connections
-STILL_COME = 0.5  # s after SIGTERM in which connections still come
-LAST_TAKEN = 0.1  # s past that for those that wait to be taken
-KILLED_AT = 3.0  # s after SIGTERM at which SIGKILL may come, where no deadline is shorter
-FINISH = 0.4  # s past that, by which everything is answered
-TURN = 0.02  # s between looks whether all has ended
 LOOK = 0.25  # s between looks at the wall clock and at what other processes of this gateway did
 CLOCK_CHECK = 0.1  # s that a start waits for the counter to tell the fleet's time
 
@@ -117,6 +113,7 @@
         self.held = 0  # bytes of bodies in work
         self.events: deque[api.Event] = deque()
         self.feeding = self.ready = False
+        self.gives_up = False  # the process is at its end and forwards nothing more
         # Whether this gateway may have another time than the fleet, as far as is known.
         self.synchronizing = config.counter is not None and config.settings.gateways > 1
         self.clock_checked = asyncio.Event()  # whether it has been compared, as far as the counter answers
@@ -337,7 +334,7 @@
         request = self.read_request(command, write, now - slot.client.heard)
         if request.id in self.works:
             raise BadRequest("this id is in work")
-        if len(self.works) >= self.config.max_open or self.held > MOST_HELD:
+        if self.gives_up or len(self.works) >= self.config.max_open or self.held > MOST_HELD:
             slot.reply(BUSY)
             return
         work = Work(request.id, slot, command, now + request.left, self.settings.limits)
@@ -697,35 +694,5 @@
     # The end
 
     async def stop(self) -> None:
-        """After SIGTERM: goes on while connections still come, then finishes what it has taken. Where another
-        process serves the same socket, what comes from now on is for that one."""
-        began = time.monotonic()
-        self.state = "stopping"
-        longest = max(cls.deadline for cls in self.settings.classes.values())
-        end = began + min(KILLED_AT, longest) + FINISH
-        if not self.succeeded():
-            await asyncio.sleep(STILL_COME)
-            await self.clients.take_last(LAST_TAKEN)
-        self.feed(api.Drain(True))
-        self.clients.finish(end - time.monotonic())
-        try:
-            async with asyncio.timeout(end - time.monotonic()):
-                while self.works or self.clients.clients:
-                    await asyncio.sleep(TURN)
-        except TimeoutError:
-            for work in list(self.works.values()):
-                self.abandon(work)
-            await asyncio.sleep(0)  # the last answers are written at the end of this turn
-        self.clients.close()
-        if self.control:
-            self.control.close()
-            self.changes.close()
-        if self.looking:
-            self.looking.cancel()
-        if self.member:
-            self.member.close()
-        self.hosts.close()
-        if self.counter:
-            self.counter.close()
-        await self.discovery.close()
-        self.lives.end()
+        """After SIGTERM, once."""
+        await shut_down(self)
--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -186,6 +186,7 @@
         "calicomast.net.listening",
         "calicomast.net.lives",
         "calicomast.net.resp",
+        "calicomast.net.shutdown",
         "calicomast.policy",
         *(
             f"calicomast.policy.{name}"
--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -10,7 +10,7 @@
 import pytest
 from netkit import SERVED, SETTINGS, VALUE, Node, StubHost, bear, command, on_loop, read_reply, terms, until
 
-from calicomast.net import clients, gateway
+from calicomast.net import clients, shutdown
 from calicomast.policy import attempts, shedding
 
 PING = b"*1\r\n$4\r\nPING\r\n"
@@ -375,7 +375,7 @@
 @on_loop
 async def test_connections_that_wait_when_the_listener_closes_are_served(tmp_path, monkeypatch):
     """They came in one turn, and the loop takes one a turn: the listener's close would reset them."""
-    monkeypatch.setattr(gateway, "STILL_COME", 0.0)
+    monkeypatch.setattr(shutdown, "ACCEPT_FOR", 0.0)
     async with StubHost() as host, Node(host, path=tmp_path) as node:
         peers, take = [], node.node.clients.take_last
         bear(node.node, 100.0)
@@ -400,8 +400,8 @@
 async def test_neither_a_host_that_hangs_nor_a_resting_client_leaves_a_request(tmp_path, monkeypatch):
     """What is in work gets its answer before SIGKILL may come; a resting client is sent away, and what it
     sends after that is read by nobody."""
-    monkeypatch.setattr(gateway, "STILL_COME", 0.0)
-    monkeypatch.setattr(gateway, "KILLED_AT", 0.5)
+    monkeypatch.setattr(shutdown, "ACCEPT_FOR", 0.0)
+    monkeypatch.setattr(shutdown, "KILLED_AT", 0.5)
     async with StubHost(None) as host, Node(host, path=tmp_path) as node:
         rests, works = Peer(node.port), Peer(node.port)
         works.send(command(b"hangs"))
@@ -418,7 +418,7 @@
 async def test_with_short_deadlines_less_of_the_end_is_read(tmp_path, monkeypatch):
     """All is over 0.4 s after the longest deadline: what came late would be failed there, unread it is tried
     elsewhere."""
-    monkeypatch.setattr(gateway, "STILL_COME", 0.0)
+    monkeypatch.setattr(shutdown, "ACCEPT_FOR", 0.0)
     monkeypatch.setattr(clients, "FIRST_WITHIN", 0.0)
     short = {**SETTINGS, "services": [s | {"deadline": 900_000_000} for s in SETTINGS["services"]]}
     async with StubHost(None) as host, Node(host, path=tmp_path, settings=short) as node:
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -24,7 +24,7 @@
     until,
 )
 
-from calicomast.net import gateway
+from calicomast.net import shutdown
 from calicomast.standins.host import VALUE
 
 S = 1_000_000_000
@@ -79,12 +79,15 @@
     assert not unanswered & forwarded
 
 
+@pytest.mark.parametrize("more", [{}, {"edge": {}}], ids=["", "edge"])
 @on_loop
-async def test_a_command_that_becomes_whole_as_the_process_gives_up_is_not_forwarded(tmp_path, monkeypatch):
+async def test_a_command_that_becomes_whole_as_the_process_gives_up_is_not_forwarded(
+    more, tmp_path, monkeypatch
+):
     """Its connection is open, as half of it had come; no time is left in which it could be answered."""
-    monkeypatch.setattr(gateway, "KILLED_AT", 0.2)
-    monkeypatch.setattr(gateway, "STILL_COME", 0.0)
-    async with StubHost() as host, Node(host, path=tmp_path) as node:
+    monkeypatch.setattr(shutdown, "KILLED_AT", 0.2)
+    monkeypatch.setattr(shutdown, "ACCEPT_FOR", 0.0)
+    async with StubHost() as host, Node(host, path=tmp_path, more=more) as node:
         for _ in range(2):  # connections to the host that rest
             await asyncio.gather(*(node.ask(command(b"r%d" % number)) for number in range(4)))
         await has_settled(node.node.hosts.pools["h1"])
