Health of hosts as a module of its own; constants of the fleet one a line

Need: policy/fleet.py kept the estimate of hosts' health beside lists, views, slow start and the choice of a host, and packed its constants. Change: policy/health.py (HealthEstimator, health, record, forget, for Doubt, sound, note); one constant a line with its unit, grouped. No behaviour: the recorded streams of decisions are equal. Measured: test_module_streams, test_fleet, test_scale_page and test_layout pass.

--- a/calicomast/lab/scale/page.py
+++ b/calicomast/lab/scale/page.py
@@ -807,7 +807,7 @@
         "loss_view_kb",
         "at a gateway with it in view",
         "lapse_s",
-        "`registry.core.Registry.look`, `policy.fleet.Doubt`",
+        "`registry.core.Registry.look`, `policy.health.HealthEstimator`",
         "gateways with it in view; the list service's `GET /status`, by counts; callers, by an attempt more",
     ),
     Event(
@@ -932,7 +932,7 @@
         "back_view_kb_most",
         "at one gateway at most, once it is back",
         "back_view_last_s",
-        "`net.replicas.Replicas`, `policy.fleet.Doubt`",
+        "`net.replicas.Replicas`, `policy.health.HealthEstimator`",
         "each gateway's `GET /status`, by the age of its list; callers, by attempts at hosts that are gone",
     ),
     Event(
--- a/calicomast/policy/attempts.py
+++ b/calicomast/policy/attempts.py
@@ -93,7 +93,7 @@
         for number in set(late) - job.late:
             host = job.live[number][0].id
             self.fleet.ended(host, (job.req.id, number))  # a silent one holds no other's place
-            self.fleet.doubt.note(host, job.keys, True, now)
+            self.fleet.health.record(host, job.keys, True, now)
         job.late.update(late)
         self.look(now + max(2 * TICK, self.fleet.dev[job.cls.name]), job)
         if not late or len(job.live) > 1 or job.cls.effect == "unsafe" or self.budget < 1.0:
--- a/calicomast/policy/fleet.py
+++ b/calicomast/policy/fleet.py
@@ -14,84 +14,52 @@
 
 from calicomast import interface as api
 from calicomast.policy.accounts import GAIN, QUICK, stable_hash
+from calicomast.policy.health import HealthEstimator
 from calicomast.policy.starts import StartTimes, later_start
 
 TICK = 0.02  # s; coarsest delay of a check on held requests and copies; far under any aim
-CONGESTED = 5.0  # requests held at a server, above which it holds more than it works on well
-PRESSED, PRESS_SPAN = 0.5, 1.5  # part of answers from congested servers that sheds work; s taken over
-LIMIT_MOST, ROOM_CLEAR = 4.0, 0.6  # attempts out per server over all gateways; part that is clear room;
-OUT_SLACK, OUT_EVEN = 2.0, 4.0  # times its even part that one may have out; gateways above which it is less
-SERVERS_OF_HOST = 2.0  # requests a server works on at once, when nothing tells more
-PRIOR = 4  # answers that a class's first mean and deviation stand for: one answer alone tells no deviation
-FORGET = 10.0  # s; half of what is known of a host's failures is forgotten, which is its next trial
-ABLE_SPAN = 0.1  # s between counts of the hosts that can do work
-REPORT_AGE, RATE_SPAN = 1.0, 3.0  # s; a load report says half as much after it; own sends are counted over it
-OWN_PART = 3.0  # hosts that a gateway uses, times those whose even part of attempts it may have out
-CHOICES, DRAWS = 4.0, 40  # servers compared, times servers over gateways; draws before all are looked at
-DOUBT_LEAST, DOUBT_MOST = 0.02, 0.6  # bounds of the part of hosts taken to fail before anything is seen
-FAILS, CHANCE = 0.9, 0.05  # share of attempts that fail at a failing host; at a sound one
+
+# Attempts out
+LIMIT_MOST = 4.0  # attempts out at one host over all gateways
+ROOM_CLEAR = 0.6  # part of that below which hosts clearly have room
+OUT_SLACK = 2.0  # times its even part that one gateway may have out, where there are few gateways
+OUT_EVEN = 4.0  # gateways above which it is less
+ABLE_SPAN = 0.1  # s between two counts of the hosts that can do work
 COPY_AT = 4.0  # mean deviations above the mean time, after which an attempt is taken for silent
-COLD_PART = 0.4  # of what a cold server bears by the rules, the rest for chance and the others' bursts
+PRIOR = 4  # answers that a class's first mean and deviation stand for: one alone tells no deviation
+
+# Load and pressure
+CONGESTED = 5.0  # requests held at a host, above which it holds more than it works on well
+PRESSED = 0.5  # part of answers from congested hosts that sheds work
+PRESS_SPAN = 1.5  # s over which that part is taken
+SERVERS_OF_HOST = 2.0  # requests a host works on at once, when nothing tells more
+REPORT_AGE = 1.0  # s after which a load report says half as much
+RATE_SPAN = 3.0  # s over which own sends are counted
+
+# Choice of a host
+OWN_PART = 3.0  # hosts that a gateway uses, times those whose even part of attempts it may have out
+CHOICES = 4.0  # hosts compared, times hosts over gateways
+DRAWS = 40  # draws of a host before all are looked at
 CROSS_WEIGHT = 10.0  # relative service time given to save one unit of the cross-zone price
-FADED = 60 * FORGET  # s after which a doubt differs from the pool by less than floats can tell
 LOOK_MOST = 512  # hosts looked at one by one for a choice or a sum; of more, so many drawn stand for all
-BULK = 16  # a list that names more than one host in so many up has all sorted: the quicker way from there on
-GONE_SPAN, GONE_LEAST = 60.0, 64  # s for which a host that left is known: lists blink; so many, or as are up
 GOLDEN = 0.6180339887498949  # places of gateways in steps of this are even on the ring, whatever their number
+
+# Slow start
+COLD_PART = 0.4  # of what a cold host bears by the rules, the rest for chance and the others' bursts
+
+# Lists and views
+BULK = 16  # a list that names more than one host in so many up has all sorted: the quicker way from there on
+GONE_SPAN = 60.0  # s for which a host that left is known: lists blink
+GONE_LEAST = 64  # hosts that left which are known at least, or as many as are up
 VIEW_SPARE = 2.0  # hosts of a plain view, times those that a gateway uses: half may be cold or fail
 VIEW_LEAD = 0.1  # part of these that is passed over at its begin where it is as dense as all the ring
-WIDEN_SPAN, EASY_SPAN = 5.0, 60.0  # s by which a view asked for is there; of ease until it is given back
+WIDEN_SPAN = 5.0  # s by which a view that was asked for is there
+EASY_SPAN = 60.0  # s of ease until a wide view is given back
+
 BY_NUMBER, BY_PLACE = (lambda s: s.number), (lambda s: (s.place, s.number))
 T = TypeVar("T")
 
 
-class Doubt:
-    """How likely a host fails, at the level where the symptom shows: the whole host, a class, a plan there.
-
-    One answer to errors, silence, lost connections and `full`: evidence at each level, by how much of the
-    fleet fails there, so that an answer of another kind clears nothing. In trouble proven hosts come first.
-    Harm: after a chance failure a sound host gets less until half is forgotten."""
-
-    def __init__(self) -> None:
-        self.hosts: dict[str, dict[str, tuple[float, float]]] = {}  # in order of the last evidence of each
-        self.pool: dict[str, float] = {}
-
-    def sound(self, host: str, keys: tuple[str, ...], now: float) -> float:
-        return self.sounds([host], keys, now)[0]
-
-    def sounds(self, hosts: list[str], keys: tuple[str, ...], now: float) -> list[float]:
-        sounds, pools = list[float](), [(key, self.pool.get(key, DOUBT_LEAST)) for key in keys]
-        last, left = now, 1.0  # a request's evidence at all levels is of one time
-        for host in hosts:
-            known, worst = self.hosts.get(host, {}), 0.0
-            for key, q in pools:
-                if key in known:
-                    was, at = known[key]
-                    if at != last:
-                        last, left = at, 0.5 ** ((now - at) / FORGET)
-                    q += (was - q) * left
-                worst = q if q > worst else worst
-            sounds.append((1 - worst) ** 2)
-        return sounds
-
-    def note(self, host: str, keys: tuple[str, ...], failed: bool, now: float) -> None:
-        most = max(self.pool.get(key, DOUBT_LEAST) for key in keys)
-        known = self.hosts[host] = self.hosts.pop(host, {})
-        for key in keys:
-            q = pool = self.pool.get(key, DOUBT_LEAST)
-            if key in known:
-                q += (known[key][0] - q) * 0.5 ** ((now - known[key][1]) / FORGET)
-            if failed:
-                q += (q * FAILS / (q * FAILS + (1 - q) * CHANCE) - q) * (pool / most) ** 2
-            else:  # any answer shows that the host as a whole works, but not that it serves the other kinds
-                q = 0.0 if key == keys[0] else q * (1 - FAILS) / (q * (1 - FAILS) + (1 - q) * (1 - CHANCE))
-            known[key] = (q, now)
-            self.pool[key] = min(DOUBT_MOST, max(DOUBT_LEAST, pool + GAIN * (q - pool)))
-        oldest = next(iter(self.hosts))
-        if now - self.hosts[oldest][keys[0]][1] > FADED:
-            del self.hosts[oldest]
-
-
 class Server:
     def __init__(self, host: api.Host, now: float, credit: float, began: float) -> None:
         self.host, self.up = host, host.state == "up"
@@ -111,7 +79,7 @@
 
 class Fleet:
     def __init__(self, settings: api.Settings, rng: random.Random) -> None:
-        self.rng, self.doubt, self.numbers = rng, Doubt(), itertools.count()
+        self.rng, self.health, self.numbers = rng, HealthEstimator(), itertools.count()
         self.servers: dict[str, Server] = {}
         self.starts = StartTimes()
         self.gone: dict[str, float] = {}  # of these the ones not listed as up, since when
@@ -189,7 +157,7 @@
     def know(self, server: Server, old: Server | None) -> None:
         server.number, server.out = (next(self.numbers), {}) if old is None else (old.number, old.out)
         self.servers[server.host.id] = server
-        self.doubt.hosts.pop(server.host.id, None)  # what its last life did says nothing of this one
+        self.health.forget(server.host.id)  # what its last life did says nothing of this one
 
     def ban(self, now: float, event: api.Ban) -> None:
         """What is known of a host ends with its ban: it was restarted meanwhile, or may have been."""
@@ -255,7 +223,7 @@
                 self.gone[name] = now
             else:
                 del self.servers[name]
-                self.doubt.hosts.pop(name, None)
+                self.health.forget(name)
 
     def some(self, servers: list[T]) -> list[T]:
         """All of them, or as many as are looked at one by one."""
@@ -319,16 +287,16 @@
 
     def count_able(self, keys: tuple[str, ...], now: float) -> dict[str, float]:
         """Counts a usual host for each, and what those lack that are cold or doubted; what these can do."""
-        rules, usual, known = self.set.rules, self.doubt.sound("", keys, now), list(self.doubt.hosts)
+        rules, usual, known = self.set.rules, self.health.health("", keys, now), list(self.health.hosts)
         some, cold = self.some(known), self.some(list(self.cold.values()))
         here = [x for x in some if x in self.servers and x not in self.gone and x not in self.banned]
         able = {
             x: sound * self.cold[x].warmth(now, rules) if x in self.cold else sound
-            for x, sound in zip(here, self.doubt.sounds(here, keys, now), strict=True)
+            for x, sound in zip(here, self.health.healths(here, keys, now), strict=True)
         }
         off = (sum(able.values()) - usual * len(able)) * (len(known) / max(1, len(some)))
         warm = {s.host.id: s.warmth(now, rules) for s in cold}
-        less = sum(x * usual - usual for name, x in warm.items() if name not in self.doubt.hosts)
+        less = sum(x * usual - usual for name, x in warm.items() if name not in self.health.hosts)
         self.able = usual * len(self.up) + off + less * (len(self.cold) / max(1, len(cold)))
         for name in [name for name, x in warm.items() if x == 1.0]:
             del self.cold[name]
@@ -346,13 +314,13 @@
         if need >= total:
             return self.up
         at = self.entry(need) if self.total else total * self.set.index // self.set.gateways
-        usual = self.doubt.sound("", keys, now)
+        usual = self.health.health("", keys, now)
         for n in range(at - total, at):
             if need <= 0:
                 break
             own.append(s := self.ring[n])
             x = s.host.id
-            sound = self.doubt.sound(x, keys, now) if x in self.doubt.hosts and x not in able else usual
+            sound = self.health.health(x, keys, now) if x in self.health.hosts and x not in able else usual
             need -= able[x] if x in able else s.warmth(now, rules) * sound
         return own
 
@@ -387,14 +355,14 @@
 
     def weight(self, s: Server, keys: tuple[str, ...], now: float) -> float:
         size = s.host.weight / self.top * s.warmth(now, self.set.rules)
-        return size * self.doubt.sound(s.host.id, keys, now)
+        return size * self.health.health(s.host.id, keys, now)
 
     def score(self, s: Server, keys: tuple[str, ...], now: float) -> float:
         fresh = 0.5 ** ((now - s.others_at) / REPORT_AGE)  # without a report it is as busy as the rest
         load = len(s.out) + fresh * s.others + (1 - fresh) * self.mean_held()
         size = max(s.host.weight, 1e-9)  # what a cold one may get is up to its credit
         cross = self.set.prices.get("cross_zone", 0.0) * CROSS_WEIGHT if s.host.zone != self.set.zone else 0.0
-        sound = max(0.01, self.doubt.sound(s.host.id, keys, now))
+        sound = max(0.01, self.health.health(s.host.id, keys, now))
         return max(0.3, s.ratio) * (1 + load / SERVERS_OF_HOST) / size / sound + cross
 
     def pick(self, now: float, keys: tuple[str, ...], fits: list[Server] | None) -> Server | None:
@@ -439,7 +407,7 @@
             self.reports, high = True, held > CONGESTED
         if event.result in ("connect_failed", "full", "error", "reset", "ok"):
             level = keys[:1] if event.result == "connect_failed" else keys
-            self.doubt.note(event.host, level, event.result != "ok", now)
+            self.health.record(event.host, level, event.result != "ok", now)
         if event.report or event.result in ("ok", "timeout"):
             gain = max(QUICK / 2, 1 - math.exp((self.answer_at - now) / PRESS_SPAN))
             self.pressure, self.answer_at = self.pressure + min(gain, 0.5) * (high - self.pressure), now
--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -196,6 +196,7 @@
                 "fleet",
                 "fleet_time",
                 "gateway",
+                "health",
                 "quota",
                 "shedding",
                 "starts",
--- a/tests/test_fleet_views.py
+++ b/tests/test_fleet_views.py
@@ -210,7 +210,7 @@
     w.now += GONE_SPAN + 1.0
     w.do(api.HostList("delta", 3, (), 200))
     fleet = w.gw.fleet
-    assert gone.id not in fleet.servers and gone.id not in fleet.doubt.hosts
+    assert gone.id not in fleet.servers and gone.id not in fleet.health.hosts
     w.end(send, "timeout")
     w.do(api.Began(send.id, 0, send.host, 0.1))
     w.do(api.Ban(gone.id, True, w.now))
@@ -332,7 +332,7 @@
             objects.append(len(gc.get_objects()))
     fleet = w.gw.fleet
     assert len(fleet.gone) <= 100 and len(fleet.ring) == len(fleet.up) == len(fleet.weights) == 100
-    assert len(fleet.doubt.hosts) <= 201 and len(fleet.cold) <= 101
+    assert len(fleet.health.hosts) <= 201 and len(fleet.cold) <= 101
     assert objects[1] < objects[0] + 300  # each known host is three at least
     w.now += GONE_SPAN + 1.0
     asked(w, 1)
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -36,7 +36,18 @@
 
 
 def test_each_layer_of_the_module_uses_only_those_below():
-    layers = ["accounts", "starts", "fleet", "fleet_time", "work", "attempts", "shedding", "quota", "gateway"]
+    layers = [
+        "accounts",
+        "starts",
+        "health",
+        "fleet",
+        "fleet_time",
+        "work",
+        "attempts",
+        "shedding",
+        "quota",
+        "gateway",
+    ]
     for number, layer in enumerate(layers):
         text = (ROOT / "calicomast" / "policy" / f"{layer}.py").read_text()
         used = re.findall(r"^from calicomast\.policy\.(\w+) import", text, re.MULTILINE)
--- a/tests/test_scale_page.py
+++ b/tests/test_scale_page.py
@@ -714,7 +714,6 @@
     "policy.work.RETRY_MOST",
     "policy.quota.UNHEARD_MOST",
     "policy.quota.SAMPLE_MOST",
-    "policy.fleet.DOUBT_MOST",
     "policy.fleet.LOOK_MOST",
     "membership.core.SUSPECT_MOST",
     "membership.core.LONGER_MOST",
