Requests in flight and the reading of commands as a module of their own

Need: GatewayNode parsed commands, kept requests and carried out actions in one file of 700 lines, under names of the house style. Change: net/requests.py has BadRequest, InFlightRequest (Work, works, over) and read_request. No behaviour; one test of the reader calls the function and gives READ no body, as the count of arguments is now looked at in it.

--- a/calicomast/lab/scale/stamped.py
+++ b/calicomast/lab/scale/stamped.py
@@ -95,7 +95,7 @@
 
     def read(self, act: Callable[..., Any], node: Any, *args: Any) -> Any:
         request = act(node, *args)
-        if self.taking is not None and request.id not in node.works:
+        if self.taking is not None and request.id not in node.in_flight:
             self.open[request.id] = self.taking
         return request
 
--- a/calicomast/net/gateway.py
+++ b/calicomast/net/gateway.py
@@ -9,7 +9,6 @@
 import asyncio
 import logging
 import math
-import re
 import resource
 import sys
 import time
@@ -30,14 +29,12 @@
 from calicomast.net.discovery import Discovery
 from calicomast.net.hosts import Attempt, Hosts
 from calicomast.net.lives import Lives
+from calicomast.net.requests import RESERVED, BadRequest, InFlightRequest, bulk, read_request
 from calicomast.net.resp import MOST_LARGE
 from calicomast.net.shutdown import shut_down
 from calicomast.policy import Gateway
 
-WAY_BACK = 0.03  # s before the client gives up by which the module is to be done
-GUARD = 0.01  # s before that by which a request without an answer is failed, whatever the module does
-MOST_LEFT = 3600.0  # s; a client that says it will wait for longer is in error
-MOST_CUSTOMER = 2**33  # customers are numbers below it
+GUARD = 0.01  # s before the client gives up by which a request is failed, whatever the module does
 MOST_HELD = 16 * 1024 * 1024  # bytes of small bodies in work past which requests are refused
 PROCESS = 32 * 1024 * 1024  # bytes that a process takes by itself
 BODIES = 0.5  # part of the rest for large bodies: connections and pieces of values take some, too
@@ -45,8 +42,6 @@
 LOOK = 0.25  # s between looks at the wall clock and at what other processes of this gateway did
 CLOCK_CHECK = 0.1  # s that a start waits for the counter to tell the fleet's time
 
-NUMBER = re.compile(rb"(?:[0-9]+\.?[0-9]*|\.[0-9]+)(?:[eE][+-]?[0-9]+)?").fullmatch
-CUSTOMER = re.compile(rb"[0-9a-fA-F]{16}").fullmatch
 
 FAILED = b"-ERR failed\r\n"
 BUSY = b"-BUSY\r\n"
@@ -61,55 +56,13 @@
         return int(file.read().split()[1]) * resource.getpagesize()
 
 
-class Work:
-    """A request that was taken: where its answer goes, what goes to hosts, and what is out for it."""
-
-    __slots__ = ("id", "slot", "command", "deadline", "limits", "guard", "sends", "live", "over", "stream")
-
-    def __init__(
-        self, id: str, slot: Slot, command: list[bytes], deadline: float, limits: api.Limits
-    ) -> None:
-        self.id, self.slot, self.command, self.deadline = id, slot, command, deadline
-        self.limits = limits
-        self.guard: asyncio.TimerHandle | None = None
-        self.sends = 0
-        self.live: dict[int, Attempt] = {}
-        self.over = False
-        self.stream: Attempt | None = None  # whose value goes to the client in pieces
-
-    @property
-    def body(self) -> bytearray | None:
-        """A large one, which has a place in the budget."""
-        return self.command[-1] if type(self.command[-1]) is bytearray else None
-
-    def payload(self, left: float) -> bytes:
-        """The command as the client sent it, but for `d`: how long this attempt is waited for. A large body
-        follows by itself, so that no copy of it is made."""
-        terms = self.command[3]
-        start = (b"," + terms).index(b",d=") + 2
-        end = terms.find(b",", start)
-        told = b"%s%d%s" % (terms[:start], max(1, int(left * 1000)), terms[end:] if end >= 0 else b"")
-        parts = [*self.command[:3], told, *self.command[4:]]
-        if self.body is not None:
-            return b"*5\r\n%s$%d\r\n" % (b"".join([bulk(part) for part in parts[:4]]), len(parts[4]))
-        return b"*%d\r\n%s" % (len(parts), b"".join([bulk(part) for part in parts]))
-
-
-def bulk(data: bytes) -> bytes:
-    return b"$%d\r\n%s\r\n" % (len(data), data)
-
-
-class BadRequest(Exception):
-    """Why a command cannot be taken."""
-
-
 class GatewayNode:
     def __init__(self, config: Config) -> None:
         self.config, self.settings = config, config.settings
         self.clock = Clock(config.scratch if config.control or config.keep else None, config.name)
         self.loop = asyncio.get_running_loop()
         self.module = Gateway(config.settings, config.seed, self.clock())
-        self.works: dict[str, Work] = {}
+        self.in_flight: dict[str, InFlightRequest] = {}
         self.held = 0  # bytes of bodies in work
         self.events: deque[api.Event] = deque()
         self.feeding = self.ready = False
@@ -267,8 +220,8 @@
             actions = self.module.handle(self.clock(), event)
         except Exception:  # one request must not take the others along
             log.exception("the module failed on %r", event)
-            if isinstance(event, api.Request | api.Outcome) and event.id in self.works:
-                self.abandon(self.works[event.id])
+            if isinstance(event, api.Request | api.Outcome) and event.id in self.in_flight:
+                self.abandon(self.in_flight[event.id])
             return
         for action in actions:
             try:
@@ -276,7 +229,7 @@
             except Exception:  # nor one action the rest; the guard answers what it was for
                 log.exception("%r could not be carried out", action)
 
-    def abandon(self, work: Work) -> None:
+    def abandon(self, work: InFlightRequest) -> None:
         """Fails a request by itself and lets the module forget it."""
         self.finish(work, FAILED)
         for attempt in list(work.live.values()):
@@ -321,94 +274,48 @@
             log.exception("a command could not be taken")
             slot.reply(FAILED)
 
-    def take(self, slot: Slot, command: object) -> None:
-        if not isinstance(command, list) or {type(part) for part in command} - {bytes, bytearray}:
-            raise BadRequest("not an array of bulk strings")
-        verb = command[0] if command else b""
-        write = verb == b"API.WRITE"
-        if not write and verb != b"API.READ":
-            raise BadRequest("unknown command")
-        if len(command) != 4 + write:
-            raise BadRequest("wrong number of arguments")
+    def take(self, slot: Slot, command: list[bytes]) -> None:
+        """Raises BadRequest where the command is none."""
         now = time.monotonic()
-        request = self.read_request(command, write, now - slot.client.heard)
-        if request.id in self.works:
+        request = self.read_request(command, now - slot.client.heard)
+        if request.id in self.in_flight:
             raise BadRequest("this id is in work")
-        if self.gives_up or len(self.works) >= self.config.max_open or self.held > MOST_HELD:
+        if self.gives_up or len(self.in_flight) >= self.config.max_open or self.held > MOST_HELD:
             slot.reply(BUSY)
             return
-        work = Work(request.id, slot, command, now + request.left, self.settings.limits)
-        slot.token = work
-        self.works[request.id] = work
-        if work.body is None:
+        taken = InFlightRequest(request.id, slot, command, now + request.left, self.settings.limits)
+        slot.token = taken
+        self.in_flight[request.id] = taken
+        if taken.body is None:
             self.held += len(command[-1])
-        work.guard = self.loop.call_later(max(0.0, request.left + WAY_BACK - GUARD), self.overdue, work)
+        wait = max(0.0, request.left + RESERVED - GUARD)
+        taken.guard = self.loop.call_later(wait, self.overdue, taken)
         self.feed(request)
 
-    def read_request(self, command: list[bytes], write: bool, waited: float) -> api.Request:
-        """`waited`: the seconds since its bytes came, spent on those before it or by others' turns."""
-        verb, customer, name, terms = command[:4]
-        try:
-            fields = dict(term.split(b"=", 1) for term in terms.split(b","))
-            cls = self.settings.classes.get(fields[b"c"].decode())
-            plan = fields[b"t"].decode()
-            whole = fields[b"d"], fields[b"spread"], fields[b"first"]
-            left, spread, first = map(int, whole)
-            units = float(fields[b"units"])
-            if not b"".join(whole).isdigit() or not NUMBER(fields[b"units"]):  # int() takes +1 and 1_0, too
-                raise ValueError("no plain number")
-            if not CUSTOMER(customer) or int(customer, 16) >= MOST_CUSTOMER or not name:
-                raise ValueError("customer or id")
-            if len(fields) != terms.count(b",") + 1:  # hosts would get both
-                raise ValueError("a field that stands twice")
-        except (KeyError, ValueError, OverflowError) as err:
-            raise BadRequest("missing or odd field") from err
-        if cls is None or plan not in self.settings.plans:
-            raise BadRequest("unknown class or plan")
-        if write == (cls.effect == "safe") or (cls.effect == "keyed" and not fields.get(b"k")):
-            raise BadRequest("class does not go with this command")
-        # The module weighs a request by its units against the mean of all: one of 1e12 spoils that for long.
-        most = self.settings.gateways
-        if (
-            not 0 < units <= self.settings.most_units
-            or left > 1000 * MOST_LEFT
-            or (not 1 <= spread <= most or first >= most)
-        ):
-            raise BadRequest("field out of range")
-        left = left / 1000 - WAY_BACK - waited
-        return api.Request(
-            name.decode("latin-1"),
-            left,
-            customer.decode(),
-            plan,
-            cls.name,
-            units,
-            first,
-            spread,
-            fields.get(b"r") == b"1",
-            write,
-        )
+    def read_request(self, command: list[bytes], waited: float) -> api.Request:
+        """By the settings in force. Raises BadRequest."""
+        return read_request(command, self.settings, waited)
 
     def gone(self, slot: Slot) -> None:
         """The client went away: nothing more is sent for its request."""
         work = slot.token
-        if work is not None and not work.over:
+        if work is not None and not work.finished:
             self.finish(work, b"")
             self.feed(api.Gone(work.id))
             if work.stream is not None:
                 self.hosts.give_up(work.stream, "cancelled")
 
-    def overdue(self, work: Work) -> None:
+    def overdue(self, work: InFlightRequest) -> None:
         """Guards the client's deadline against a module that says nothing."""
-        if not work.over:
+        if not work.finished:
             log.warning("request %s: no decision before its deadline", work.id)
             self.abandon(work)
 
-    def finish(self, work: Work, answer: bytes) -> None:
+    def finish(self, work: InFlightRequest, answer: bytes) -> None:
         """The one place where a request gets its final answer."""
-        if work.over:
+        if work.finished:
             return
-        work.over = True
+        work.finished = True
         if work.guard is not None:
             work.guard.cancel()
         if work.stream is not None and not work.stream.whole:
@@ -420,8 +327,8 @@
                 self.hosts.give_up(attempt, "cancelled")
         self.forget(work)
 
-    def forget(self, work: Work) -> None:
-        if work.over and not work.live and self.works.pop(work.id, None):
+    def forget(self, work: InFlightRequest) -> None:
+        if work.finished and not work.live and self.in_flight.pop(work.id, None):
             if work.body is not None:
                 self.clients.budget.give(len(work.body))
             else:
@@ -430,19 +337,19 @@
     # Actions
 
     def refuse(self, action: api.Refuse) -> None:
-        if action.id in self.works:
+        if action.id in self.in_flight:
             wait = math.ceil(action.retry_after * 1000)
             if action.pressed:
-                self.works[action.id].slot.client.pressed()
-            self.finish(self.works[action.id], b"-BUSY %d\r\n" % wait if wait > 0 else BUSY)
+                self.in_flight[action.id].slot.client.pressed()
+            self.finish(self.in_flight[action.id], b"-BUSY %d\r\n" % wait if wait > 0 else BUSY)
 
     def fail(self, action: api.Fail) -> None:
-        if action.id in self.works:
-            self.finish(self.works[action.id], FAILED)
+        if action.id in self.in_flight:
+            self.finish(self.in_flight[action.id], FAILED)
 
     def send(self, action: api.Send) -> None:
-        work = self.works.get(action.id)
-        if work is None or work.over:
+        work = self.in_flight.get(action.id)
+        if work is None or work.finished:
             return
         number, left = work.sends, work.deadline - time.monotonic()
         work.sends += 1
@@ -462,18 +369,18 @@
         work.live[number] = attempt
         self.hosts.send(attempt, wait)
 
-    def goes_out(self, work: Work, left: float) -> bytes:
+    def goes_out(self, work: InFlightRequest, left: float) -> bytes:
         """What an attempt sends that is about to go out. Nothing once its client has gone, which the loop may
         not have read yet: it is late by its own work, or does not read that client now."""
-        if not work.over:
+        if not work.finished:
             work.slot.client.look()
-        return b"" if work.over else work.payload(left)
+        return b"" if work.finished else work.payload(left)
 
     def value_begins(self, attempt: Attempt, length: int) -> bool:
         """The first bytes of a large value: from here on the request is this attempt's, and its time does not
         count any longer."""
         work, number = attempt.tag
-        if work.over or work.stream is not None:
+        if work.finished or work.stream is not None:
             return False
         work.stream, slot = attempt, work.slot
         if work.guard is not None:
@@ -492,11 +399,11 @@
 
     def attempt_done(self, attempt: Attempt) -> None:
         work, number = attempt.tag
-        result, over = attempt.result, work.over
+        result, finished = attempt.result, work.finished
         del work.live[number]
-        if over and result == "connect_failed":
+        if finished and result == "connect_failed":
             result = "moot"  # called off before it was sent, which says nothing of the host
-        elif not over and (work.stream is attempt or (result == "ok" and work.stream is None)):
+        elif not finished and (work.stream is attempt or (result == "ok" and work.stream is None)):
             self.finish(work, bulk(attempt.value))
         self.forget(work)
         self.feed(
@@ -506,14 +413,14 @@
                 attempt.host,
                 result,
                 attempt.elapsed(),
-                work.over,
+                work.finished,
                 used=attempt.used,
                 report=attempt.report,
             )
         )
 
     def cancel(self, action: api.Cancel) -> None:
-        work = self.works.get(action.id)
+        work = self.in_flight.get(action.id)
         if work is not None and action.attempt in work.live:
             self.hosts.give_up(work.live[action.attempt], "cancelled")
 
@@ -629,7 +536,7 @@
             "state": self.state,
             "hosts": sorted(self.hosts.pools),
             "hosts_out": sorted(self.hosts.out),
-            "requests": len(self.works),
+            "requests": len(self.in_flight),
             "clients": len(self.clients.clients),
             "list": self.discovery.told_of(),
             **({"edge": self.clients.listener.status()} if self.config.edge else {}),
--- a/calicomast/net/shutdown.py
+++ b/calicomast/net/shutdown.py
@@ -47,7 +47,7 @@
 
 async def all_answered(node: GatewayNode, end: float) -> bool:
     """Waits until nothing is in flight and no client is connected; False where that is not so in time."""
-    while node.works or node.clients.clients:
+    while node.in_flight or node.clients.clients:
         if time.monotonic() >= end:
             return False
         await asyncio.sleep(POLL_INTERVAL)
@@ -58,7 +58,7 @@
     """Fails what is in flight. What is read from here on is refused: there is no time to serve it."""
     node.gives_up = True
     node.clients.stop_reading()
-    for work in list(node.works.values()):
+    for work in list(node.in_flight.values()):
         node.abandon(work)
     await asyncio.sleep(0)  # the last answers are written at the end of this turn
 
--- a/tests/injected/planted.py
+++ b/tests/injected/planted.py
@@ -52,8 +52,8 @@
 
 def deadline():
     """Hosts are told of a second more than the client has left."""
-    payload = gateway.Work.payload
-    gateway.Work.payload = lambda self, left: payload(self, left + 1.0)
+    payload = gateway.InFlightRequest.payload
+    gateway.InFlightRequest.payload = lambda self, left: payload(self, left + 1.0)
 
 
 def quota():
--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -185,6 +185,7 @@
         "calicomast.net.hosts",
         "calicomast.net.listening",
         "calicomast.net.lives",
+        "calicomast.net.requests",
         "calicomast.net.resp",
         "calicomast.net.shutdown",
         "calicomast.policy",
--- a/tests/test_net_admission.py
+++ b/tests/test_net_admission.py
@@ -234,7 +234,7 @@
     async with StubHost(answer=None) as host, Node(host, path=scratch, more=more) as node:
         reader, writer = await node.connect()
         writer.write(command(b"r1") + command(b"r2", customer=b"%016x" % 5))
-        await until(lambda: len(host.commands) == 2 or len(node.node.works) == 2)
+        await until(lambda: len(host.commands) == 2 or len(node.node.in_flight) == 2)
         writer.write_eof()
         if answered:
             host.answer = VALUE
--- a/tests/test_net_answers.py
+++ b/tests/test_net_answers.py
@@ -85,7 +85,7 @@
         await asyncio.gather(*plays, *([hold()] if held else []))
         assert len(answers) == 24 and {answer[:1] for answer in answers} <= {b"$", b"-"}
         assert max(late) < LOST
-        assert (SERVED in answers) == (hosts == "serve") and not node.node.works
+        assert (SERVED in answers) == (hosts == "serve") and not node.node.in_flight
 
 
 @on_loop
@@ -94,7 +94,7 @@
         for number in range(3):
             for text in asked(number, 300):
                 assert (await node.ask(text))[:5] == b"-BUSY"
-        assert not node.node.works
+        assert not node.node.in_flight
 
 
 @pytest.mark.parametrize("away", ["refuses", "silent", "not there"])
--- a/tests/test_net_changes.py
+++ b/tests/test_net_changes.py
@@ -664,7 +664,7 @@
             SERVED,
             b"-ERR unknown class or plan\r\n",
         }
-        assert not node.node.works and len(changes.history.versions) == module.MOST_VERSIONS
+        assert not node.node.in_flight and len(changes.history.versions) == module.MOST_VERSIONS
 
 
 @on_loop
--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -105,7 +105,7 @@
         await host.arrived.get()
         writer.close()
         assert await host.arrived.get() is None  # the connection to the host ended
-        assert not node.node.works
+        assert not node.node.in_flight
 
 
 @on_loop
@@ -205,14 +205,14 @@
         stall_before(why, node, monkeypatch)
         peer = Peer(node.port)
         peer.send(command(b"r1", LONG) + command(b"r2", LONG) + (UPLOAD if why == "body" else b""))
-        await until(lambda: len(node.node.works) == 2)
+        await until(lambda: len(node.node.in_flight) == 2)
         stall_after(why, node, monkeypatch)
         (client,) = node.node.clients.clients
         await until(lambda: client.reading_paused)
         if behind:
             peer.send(behind)
         peer.sock.close()
-        await until(lambda: not node.node.works)
+        await until(lambda: not node.node.in_flight)
         assert not node.node.module.jobs and not host.commands
 
 
@@ -228,10 +228,10 @@
         for n, (_, writer) in enumerate(peers):
             writer.write(sent.replace(b"%d", b"%02d" % (n % 100) if n < 100 else b"%02x" % (n + 56)))
         whole = 200 * sent.count(b"API.READ")
-        await until(lambda: len(node.node.works) >= 0.9 * whole)  # the rest share an id
+        await until(lambda: len(node.node.in_flight) >= 0.9 * whole)  # the rest share an id
         for _, writer in peers:
             writer.close()
-        await until(lambda: not node.node.works and not node.node.clients.clients)
+        await until(lambda: not node.node.in_flight and not node.node.clients.clients)
         assert not node.node.module.jobs and not host.commands
 
 
@@ -284,7 +284,7 @@
 
         monkeypatch.setattr(clients.Client, "unread", looking)
         peer.send(command(b"r1"))
-        await until(lambda: node.node.works or host.commands)
+        await until(lambda: node.node.in_flight or host.commands)
         node.node.clients.drain(True)
         await until(lambda: crossed)
         assert await peer.read() == b"$%d\r\n%s\r\n" % (size, b"v" * size)
@@ -411,7 +411,7 @@
         rests.send(command(b"after"))
         assert await works.read() == b"-ERR failed\r\n"
         await ending
-        assert [got[2] for got in host.commands] == [b"hangs"] and not node.node.works
+        assert [got[2] for got in host.commands] == [b"hangs"] and not node.node.in_flight
 
 
 @on_loop
@@ -428,7 +428,7 @@
         ending = asyncio.create_task(node.node.stop())
         (client,) = node.node.clients.clients
         await until(lambda: client.last)
-        assert node.node.works  # and not only because all is over
+        assert node.node.in_flight  # and not only because all is over
         peer.send(command(b"late"))
         assert await peer.read() == b"-ERR failed\r\n"
         peer.sock.close()
@@ -518,7 +518,7 @@
                 peers[-1].send(command(b"r%d" % n, LONG))
             await until(lambda n=n: len(come) == n + 1)
             assert sum(not client.transport.is_closing() for client in server.clients) <= 11
-        assert len(node.node.works) >= 10
+        assert len(node.node.in_flight) >= 10
         for peer in peers:
             peer.sock.close()
         await until(lambda: not server.clients)
--- a/tests/test_net_gateway.py
+++ b/tests/test_net_gateway.py
@@ -8,7 +8,7 @@
 from netkit import SERVED, VALUE, Node, StubHost, command, on_loop, read_reply, terms, write
 
 from calicomast import interface as api
-from calicomast.net import gateway
+from calicomast.net import gateway, requests
 
 
 @on_loop
@@ -24,7 +24,8 @@
 
 @on_loop
 async def test_a_silent_host_is_answered_for_before_the_client_gives_up(tmp_path, monkeypatch):
-    monkeypatch.setattr(gateway, "WAY_BACK", 2.0)  # a margin that no busy machine eats up
+    for module in (gateway, requests):  # a margin that no busy machine eats up
+        monkeypatch.setattr(module, "RESERVED", 2.0)
     async with StubHost(answer=None) as host, Node(host, path=tmp_path) as node:
         began = time.monotonic()
         assert (await node.ask(write(cls=b"note", d=2300))).startswith(b"-ERR")  # it may have run: no refusal
@@ -59,7 +60,7 @@
         with caplog.at_level(logging.CRITICAL):
             assert await node.ask(command(b"bad")) == b"-ERR failed\r\n"
             assert await node.ask(command(b"good")) == SERVED
-        assert module.jobs == {} and not node.node.works
+        assert module.jobs == {} and not node.node.in_flight
 
 
 @on_loop
--- a/tests/test_net_gone.py
+++ b/tests/test_net_gone.py
@@ -30,7 +30,7 @@
 
 async def sent_on(node, *hosts):
     """The ids that hosts got, once whatever was on its way there has come."""
-    await until(lambda: not node.node.works)
+    await until(lambda: not node.node.in_flight)
     for n in range(len(hosts)):
         node.node.hosts.listed(f"h{n + 1}", ("127.0.0.1", hosts[n].port))
     for host in hosts:
@@ -65,7 +65,7 @@
 async def test_no_further_attempt_begins_once_the_client_has_gone(cause, paused, how, tmp_path):
     """The loop gets to what causes the attempt before it gets to the client's end."""
     async with StubHost(None) as one, StubHost(None) as two, Node(one, two, path=tmp_path) as node:
-        assert not node.node.works
+        assert not node.node.in_flight
         for name in ("h1", "h2"):  # a connection rests at each: what goes out does so at once
             if cause != "connect":
                 host = one if name == "h1" else two
@@ -80,7 +80,7 @@
         peer = Leaver(node)
         peer.sock.sendall(command())
         await until(lambda: one.commands or two.commands)
-        work = node.node.works["r1"]
+        work = node.node.in_flight["r1"]
         (attempt,) = work.live.values()
         client, pool = work.slot.client, node.node.hosts.pools[other(attempt)]
         work.limits = replace(work.limits, second_copies=True)
@@ -117,7 +117,7 @@
             peer.end(how)
             pool.has_settled(settling)
             assert pool.idle == [conn] and not pool.settling  # unused, so it serves the next
-        assert cause == "connect" or (work.over and work.sends == 2)
+        assert cause == "connect" or (work.finished and work.sends == 2)
         assert await sent_on(node, one, two) == [b"r1"]
         assert not node.node.clients.not_read
         peer.sock.close()
@@ -150,7 +150,7 @@
         peer = Leaver(node)
         peer.sock.sendall(command())
         await until(lambda: one.commands or two.commands)
-        work, sends = node.node.works["r1"], []
+        work, sends = node.node.in_flight["r1"], []
         send = node.node.actions[api.Send]
         node.node.actions[api.Send] = lambda action: (sends.append(action), send(action))
         peer.end(how)
@@ -159,7 +159,7 @@
             assert ahead[0] < 2.5 and labels
             for label in list(labels):
                 node.node.feed(api.Timer(label))
-        assert work.over
+        assert work.finished
         assert await sent_on(node, one, two) == [b"r1"]
         peer.sock.close()
 
@@ -190,7 +190,7 @@
             peers.append(Leaver(node))
             asked = command(b"r%03d" % n, terms(d="60000"), customer=b"%016x" % n)
             peers[-1].sock.sendall(asked)
-        await until(lambda: sum(bool(work.live) for work in node.node.works.values()) == 200)
+        await until(lambda: sum(bool(work.live) for work in node.node.in_flight.values()) == 200)
         go.set()
         assert await sent_on(node, host) == []
         assert not node.node.module.jobs
@@ -223,7 +223,7 @@
         peer = Leaver(node)
         peer.sock.sendall(command())
         await until(lambda: one.commands or two.commands)
-        (attempt,) = node.node.works["r1"].live.values()
+        (attempt,) = node.node.in_flight["r1"].live.values()
         peer.end("half")
         next_host = two if attempt.host == "h1" else one
         next_host.answer = VALUE
@@ -238,12 +238,12 @@
         peer.sock.sendall(command(b"r2"))
         await until(
             lambda: (
-                "r2" in node.node.works
-                and node.node.works["r2"].live.get(0)
-                and node.node.works["r2"].live[0].written
+                "r2" in node.node.in_flight
+                and node.node.in_flight["r2"].live.get(0)
+                and node.node.in_flight["r2"].live[0].written
             )
         )
-        (attempt,) = node.node.works["r2"].live.values()
+        (attempt,) = node.node.in_flight["r2"].live.values()
         peer.end("reset")
         attempt.conn.data_received(BUSY)
         assert (await sent_on(node, one, two)).count(b"r2") <= 1
@@ -273,8 +273,8 @@
 
         pool.open = opened
         asked = asyncio.create_task(node.ask(command()))
-        await until(lambda: "r1" in node.node.works)
-        work = node.node.works["r1"]
+        await until(lambda: "r1" in node.node.in_flight)
+        work = node.node.in_flight["r1"]
         assert len(pool.coming if wait == "connect" else pool.settling) == 1
         work.deadline -= 1.0  # as if a second had passed
         (attempt,) = work.live.values()
@@ -298,7 +298,7 @@
         async def opened():
             conn = await open_()
             await go.wait()
-            for work in node.node.works.values():
+            for work in node.node.in_flight.values():
                 work.deadline -= 10.0
                 for attempt in work.live.values():
                     attempt.ends -= 10.0
@@ -306,7 +306,7 @@
 
         pool.open = opened
         asked = asyncio.create_task(node.ask(command()))
-        await until(lambda: "r1" in node.node.works)
+        await until(lambda: "r1" in node.node.in_flight)
         go.set()
         assert (await asked)[:5] == b"-BUSY"
         assert not host.commands and len(pool.idle) == 1  # the connection rests for the next
@@ -319,7 +319,7 @@
         peer = Leaver(node)
         peer.sock.sendall(command(terms=terms(d="900")))
         await until(lambda: one.commands or two.commands)
-        (attempt,) = node.node.works["r1"].live.values()
+        (attempt,) = node.node.in_flight["r1"].live.values()
         await asyncio.sleep(0.2)
         attempt.conn.data_received(BUSY)
         await until(lambda: one.commands and two.commands)
--- a/tests/test_net_hosts.py
+++ b/tests/test_net_hosts.py
@@ -173,7 +173,7 @@
         node.node.module = Mover()
         asked = asyncio.create_task(node.ask(command()))
         await one.arrived.get()
-        (attempt,) = node.node.works["r1"].live.values()
+        (attempt,) = node.node.in_flight["r1"].live.values()
         ended = attempt.conn.sock
         node.node.cancel(api.Cancel("r1", 0))
         with pytest.raises(OSError):  # the socket was shut at once, not in a later turn of the loop
@@ -235,7 +235,7 @@
         first = asyncio.create_task(node.ask(asks(b"r1")))
         _, out = await host.commands.get()
         second = asyncio.create_task(node.ask(asks(b"r2")))
-        await until(lambda: "r2" in node.node.works)
+        await until(lambda: "r2" in node.node.in_flight)
         pool = node.node.hosts.pools["h1"]
         pool.settle, pool.pace = 10.0, 100.0  # far more than this machine is late
         out.write(value(b"one"))
@@ -286,7 +286,7 @@
     async with StubHost(b"") as one, StubHost(b"") as two, Node(one, two, path=tmp_path) as node:
         asked = asyncio.create_task(node.ask(write()))
         await until(lambda: len(opened) == 2)
-        (attempt,) = node.node.works["r1"].live.values()
+        (attempt,) = node.node.in_flight["r1"].live.values()
         assert attempt.until - attempt.started <= 3.0 - 0.02  # memory_span, less the way to the host
         if late:
             attempt.until = monotonic()
--- a/tests/test_net_large.py
+++ b/tests/test_net_large.py
@@ -76,7 +76,7 @@
         assert rest == BIG[50:] + b"\r\n" and len(host.commands) == 1
         host.answer = value(b"value")
         writer.write(command(b"r2"))
-        assert await read_reply(reader) == SERVED and not node.node.works
+        assert await read_reply(reader) == SERVED and not node.node.in_flight
 
 
 @on_loop
@@ -107,7 +107,7 @@
         await reader.readexactly(1000)
         out.close()
         assert len(await reader.read()) < len(BIG)
-        assert len(one.commands) + len(two.commands) == 1 and not node.node.works
+        assert len(one.commands) + len(two.commands) == 1 and not node.node.in_flight
         assert not node.node.module.jobs
 
 
@@ -119,7 +119,7 @@
         await until(lambda: len(host.commands) == 2)
         later = next(n for n, got in enumerate(host.commands) if got[2] == b"r2")
         host.writers[later].write(value(BIG))
-        await until(lambda: any(work.stream for work in node.node.works.values()))
+        await until(lambda: any(work.stream for work in node.node.in_flight.values()))
         host.writers[1 - later].write(value(b"value"))
         assert await read_reply(reader) == SERVED
         assert await read_reply(reader) == b"$%d\r\n%s\r\n" % (len(BIG), BIG)
@@ -134,7 +134,7 @@
         host.writers[0].write(value(BIG)[:200000])
         await reader.readexactly(1000)
         writer.close()
-        await until(lambda: not host.connections and not node.node.works)
+        await until(lambda: not host.connections and not node.node.in_flight)
 
 
 @on_loop
@@ -261,7 +261,7 @@
             writer.write(command(b"r%d" % n))
         await until(lambda: node.node.clients.clients)
         await until(lambda: not node.node.clients.clients)
-        await until(lambda: not node.node.works)
+        await until(lambda: not node.node.in_flight)
 
 
 @on_loop
--- a/tests/test_net_readers.py
+++ b/tests/test_net_readers.py
@@ -9,7 +9,6 @@
 import math
 import sys
 from dataclasses import replace
-from types import SimpleNamespace
 
 import hiredis
 import pytest
@@ -26,8 +25,8 @@
 from calicomast.net.counter import MOST_LINE, Call
 from calicomast.net.counter import Line as CounterLine
 from calicomast.net.fetch import Broken, Fetcher, Line
-from calicomast.net.gateway import WAY_BACK, BadRequest, GatewayNode
 from calicomast.net.hosts import Attempt, parse_report, read_reply
+from calicomast.net.requests import RESERVED, BadRequest, read_request
 from calicomast.net.resp import NO_REPLY, Reader
 from calicomast.settings import read_settings
 
@@ -383,16 +382,16 @@
         slow = slow_request(customer, "r1", verb, text.decode())
     except UnicodeDecodeError:
         return
-    command = [verb.encode(), customer.encode(), b"r1", text, b"BODY"]
+    command = [verb.encode(), customer.encode(), b"r1", text, *([b"BODY"] if verb == "API.WRITE" else [])]
     try:
-        read = GatewayNode.read_request(SimpleNamespace(settings=SET), command, verb == "API.WRITE", 0.0)
+        read = read_request(command, SET, 0.0)
     except BadRequest:
         assert slow is None
         return
     assert slow == (
         read.cls,
         read.plan,
-        round(1000 * (read.left + WAY_BACK)),
+        round(1000 * (read.left + RESERVED)),
         read.units,
         read.first,
         read.spread,
--- a/tests/test_net_turns.py
+++ b/tests/test_net_turns.py
@@ -205,7 +205,7 @@
                     sock = writer.get_extra_info("socket")
                     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
                 writer.transport.abort()
-            await until(lambda: not node.node.works and not node.node.clients.clients)
+            await until(lambda: not node.node.in_flight and not node.node.clients.clients)
             await until(lambda: not len(turns.ring))
             assert not turns.origins and not turns.due and not node.node.held
             told = (await node.call("GET /status"))[1]["edge"]
--- a/tests/test_scale_latency.py
+++ b/tests/test_scale_latency.py
@@ -63,7 +63,7 @@
 PLANTED = [
     ("read", gateway.GatewayNode, "read_request", lambda *args: True),
     ("module", Gateway, "handle", asked_for),
-    ("send", gateway.Work, "payload", lambda *args: True),
+    ("send", gateway.InFlightRequest, "payload", lambda *args: True),
     ("connect", hosts.Pool, "open", lambda *args: True),
     ("answer", hosts, "read_reply", lambda *args: True),
 ]
--- a/tests/test_scale_page.py
+++ b/tests/test_scale_page.py
@@ -686,8 +686,6 @@
     "net.resp.MOST_LINE",
     "net.resp.MOST_LARGE",
     "net.resp.MOST_DIGITS",
-    "net.gateway.MOST_LEFT",
-    "net.gateway.MOST_CUSTOMER",
     "net.gateway.MOST_HELD",
     "net.clients.MOST_COMMAND",
     "net.hosts.MOST_REPLY",
