Accept again in the next turn after a failure; news of a start believed up to half the cold time

Change: up to four failures in a row are tried again in the next turn of the loop; news of a start is believed up to half of the cold time, 10 s at most.

--- a/calicomast/base/accepting.py
+++ b/calicomast/base/accepting.py
@@ -18,7 +18,8 @@
 from calicomast.base.listing import Address
 
 ACCEPTS_PER_TURN = 1  # connections accepted before the event loop turns to requests in flight
-RETRY_INTERVAL = 0.01  # s between two tries while a shortage is young
+TRIES_AT_ONCE = 5  # failures in a row after which accept is tried in the next turn of the loop
+RETRY_INTERVAL = 0.01  # s between two tries from then on, while a shortage is young
 LASTING = 0.3  # s after which a shortage is held to last
 LASTING_INTERVAL = 0.1  # s between two tries from then on
 
@@ -68,6 +69,7 @@
         self.reading = False  # whether the event loop watches the listening socket
         self.retry: asyncio.TimerHandle | None = None
         self.short_since: float | None = None  # when the current shortage began, by the monotonic clock
+        self.failures = 0  # since then
         self.closed = False
         sock.setblocking(False)
         self.resume()
@@ -101,14 +103,18 @@
                     continue
                 self.accept_failed(err)
                 return
-            self.short_since = None
+            self.short_since, self.failures = None, 0
             self.attach(sock)
 
     def accept_failed(self, err: OSError) -> None:
         """Tries again later; the connection waits in the backlog meanwhile."""
         now = monotonic()
+        self.failures += 1
         if self.short_since is None:
             self.short_since = now
+        if self.failures < TRIES_AT_ONCE:  # the next turn tries again: others wait behind this connection
+            return
+        if self.failures == TRIES_AT_ONCE:
             log.warning("a connection waits in the backlog: accept failed with %s", err)
         lasted = now - self.short_since
         self.pause(RETRY_INTERVAL if lasted < LASTING else LASTING_INTERVAL)
--- a/calicomast/policy/fleet.py
+++ b/calicomast/policy/fleet.py
@@ -145,7 +145,8 @@
             self.leave(old)
         if old is None or (host.state == "up" and host.started > old.host.started):
             # Credit starts anywhere below one send: first sends of many gateways are spread over time.
-            began = self.starts.began(now, host, old.host if old else None, view)
+            cold_time = self.set.rules.cold_time
+            began = self.starts.began(now, host, old.host if old else None, view, cold_time)
             self.know(Server(host, now, self.rng.random(), began), old)
         else:
             old.host, old.up = host, host.state == "up"
--- a/calicomast/policy/starts.py
+++ b/calicomast/policy/starts.py
@@ -12,6 +12,7 @@
 from calicomast import interface as api
 
 LIST_DELAY = 10.0  # s; the longest that discovery takes to tell of a start while its lists come
+COLD_PART = 0.5  # of the cold time, at most that: a clock off by less leaves a host that is new half cold
 CLOCKS_APART = 10.0  # s; by less two clocks may differ: a host then stays at its coldest for so much longer
 
 
@@ -26,10 +27,11 @@
         if mode in ("delta", "full"):
             self.heard_at = now
 
-    def is_credible(self, now: float, started: float, news: bool) -> bool:
+    def is_credible(self, now: float, started: float, news: bool, cold_time: float) -> bool:
         """Whether a start may have been when it is told. `news`: this list is the first to tell it."""
         age = now - started
-        longest = now - self.heard_at + LIST_DELAY if news else math.inf
+        delay = min(LIST_DELAY, COLD_PART * cold_time)
+        longest = now - self.heard_at + delay if news else math.inf
         return -CLOCKS_APART <= age <= longest
 
     def is_news(self, old: api.Host | None, host: api.Host, view: bool) -> bool:
@@ -41,11 +43,11 @@
             return not view
         return host.started > old.started
 
-    def began(self, now: float, host: api.Host, old: api.Host | None, view: bool) -> float:
+    def began(self, now: float, host: api.Host, old: api.Host | None, view: bool, cold_time: float) -> float:
         """The start by the module's clock: now, which is the safe side, where what is told cannot be."""
         if host.started <= 0:
             return 0.0
-        credible = self.is_credible(now, host.started, self.is_news(old, host, view))
+        credible = self.is_credible(now, host.started, self.is_news(old, host, view), cold_time)
         return host.started if credible else now
 
 
