--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -253,3 +253,10 @@
     assert abs(warmth(w, "h1") - 0.36) < 1e-9 and warmth(w, "h2") == 1.0
     w.do(api.ClockStepped(0.0))
     assert abs(warmth(w, "h1") - 0.36) < 1e-9
+
+
+def test_a_clock_that_is_some_seconds_ahead_makes_no_warm_host_of_one_that_warms_up_in_less():
+    w = World(settings(plans=[BIG], rules=dict(cold_time=4.0)), [host("h1")], start=NOW)
+    w.do(api.HostList("full", 2, (host("h1"),)))
+    w.do(api.HostList("delta", 3, (host("h2", started=NOW - 5.0),)))
+    assert warmth(w, "h2") == w.conf.rules.cold_share
--- a/tests/test_net_descriptors.py
+++ b/tests/test_net_descriptors.py
@@ -32,7 +32,7 @@
 )
 
 from calicomast import interface as api
-from calicomast.base.accepting import LASTING
+from calicomast.base.accepting import LASTING, TRIES_AT_ONCE
 from calicomast.net import control as control_net
 from calicomast.net import hosts
 from calicomast.net.bans import Bans
@@ -315,6 +315,17 @@
         assert listener.sockets[0].left == 0 and listener.short_since is None
 
 
+@on_loop
+async def test_a_few_failures_in_a_row_hold_up_nobody_behind_them(tmp_path):
+    """Hosts are told of the time that is left, and what stands in the backlog is not counted off it."""
+    async with StubHost() as host, Node(host, path=tmp_path) as node:
+        listener, pauses = node.node.clients.listener, []
+        listener.pause = pauses.append
+        listener.sockets[0] = Empty(listener.sockets[0], TRIES_AT_ONCE - 1, errno.ENFILE)
+        assert await node.ask(command()) == SERVED
+        assert listener.sockets[0].left == 0 and not pauses
+
+
 @pytest.mark.parametrize(
     "code", [errno.ECONNABORTED, errno.EPROTO, errno.ENETUNREACH, errno.EPERM], ids=errno.errorcode.get
 )
@@ -517,7 +528,7 @@
 from pathlib import Path
 from calicomast import interface as api
 from calicomast.net import control as control_net
-from calicomast.base.accepting import LASTING
+from calicomast.base.accepting import LASTING, TRIES_AT_ONCE
 from calicomast.net import hosts
 from calicomast.net.bans import Bans
 from calicomast.net.listening import ReservedDescriptor
