--- a/tests/test_net_descriptors.py
+++ b/tests/test_net_descriptors.py
@@ -320,7 +320,8 @@
     """Hosts are told of the time that is left, and what stands in the backlog is not counted off it."""
     async with StubHost() as host, Node(host, path=tmp_path) as node:
         listener, pauses = node.node.clients.listener, []
-        listener.pause = pauses.append
+        pause = listener.pause
+        listener.pause = lambda *seconds: (pauses.append(seconds), pause(*seconds))
         listener.sockets[0] = Empty(listener.sockets[0], TRIES_AT_ONCE - 1, errno.ENFILE)
         assert await node.ask(command()) == SERVED
         assert listener.sockets[0].left == 0 and not pauses
