The fleet's time asks less, and outlasts a beacon's maker that dies

And a gateway that started with a wrong clock after the beacon had gone made three alone and was confirmed by them, while confirmed ones looked on (forced in virtual time). Change: what failed is asked again once the counter has answered another call; of more than 40 gateways 40 verify, on average; a confirmed gateway that meets another time watches for that beacon's end and makes the next; eight beacons made alone confirm, not three.

--- a/calicomast/policy/fleet_time.py
+++ b/calicomast/policy/fleet_time.py
@@ -9,6 +9,7 @@
 - A gateway whose clock agrees is confirmed, and from then on yields to nobody: its clock is monotonic.
 - One that is not confirmed and finds another time watches for the beacon's end and takes the fleet's time.
 - A confirmed gateway that made the beacon makes the next one, so that those that start mostly find one.
+- A confirmed gateway that finds another time watches for that beacon's end, too, and makes the next one.
 
 The state machine has no I/O: `call` says what to add to the beacon, `counted` takes what came of it.
 """
@@ -27,11 +28,12 @@
 RESOLUTION = 0.1  # s in which a beacon tells its time
 TOLERANCE = 0.2  # s by which gateways may differ
 POLL_INTERVAL = 0.1  # s between two looks for the end of a beacon
-RETRY_LEAST, RETRY_EACH = 0.5, 0.02  # s until a call that failed is made again; more for each gateway
+RETRY_EACH = 0.02  # s for each gateway, over which they look once the counter answers again
 PATIENCE = 2 * LIFETIME + 1.0  # s for which a gateway watches for an end before it gives up
 FEW = 4  # gateways, up to which one contradiction is enough to yield: of more, a single one may be wrong
 VERIFY_EACH = 0.1  # s for each gateway, over which their verifications are spread
-ALONE = 3  # beacons in a row of its own that a gateway finds no other between: then it is the fleet
+VERIFIERS = 40  # gateways of a fleet, on average, that look closer: of more, one look is enough for the rest
+ALONE = 8  # beacons in a row of its own that a gateway finds no other between: then it is the fleet
 
 
 class Step(Enum):
@@ -70,6 +72,7 @@
         )  # the beacon that is verified or watched; when it was last there
         self.watch_ends = 0.0  # when watching is given up
         self.contradictions = 0
+        self.stalled = False  # the counter did not answer: nothing more is asked until it answers others
 
     def start(self, now: float) -> None:
         """From here on, at once. Of a single gateway there is nothing to agree on."""
@@ -118,12 +121,19 @@
 
     def failed(self, now: float) -> None:
         """The counter did not answer: a beacon that was watched may have ended meanwhile."""
-        pause = self.rng.uniform(0.5, 1.5) * max(RETRY_LEAST, RETRY_EACH * self.gateways)
         if self.step is Step.WATCH and now < self.watch_ends:
             self.plan(Step.WATCH, now + POLL_INTERVAL)
             return
-        self.synchronizing = False
-        self.plan(Step.WITHDRAW if self.step is Step.WITHDRAW else Step.READ, now + pause)
+        self.synchronizing, self.stalled = False, True
+        if self.step is not Step.WITHDRAW:
+            self.step = Step.READ
+        self.rest_until(now, self.step)
+
+    def counter_answers(self, now: float) -> None:
+        """Another call was answered: what failed may be tried again."""
+        if self.stalled and not self.waiting:
+            self.stalled = False
+            self.plan(self.step, now + self.rng.uniform(0.0, RETRY_EACH * self.gateways))
 
     def is_same(self, total: float, stamp: float) -> bool:
         return abs(total - stamp) < RESOLUTION / 2
@@ -141,7 +151,9 @@
             self.contradicts(now, total)
 
     def agrees(self, now: float, total: float) -> None:
-        """As far as one look tells. A confirmed gateway needs no other; the rest looks closer."""
+        """As far as one look tells. A confirmed gateway needs no other; of the rest some look closer."""
+        if not self.confirmed and self.seen == 0.0:
+            self.confirmed = self.rng.random() * self.gateways >= VERIFIERS
         if self.confirmed:
             self.rest(now)
             return
@@ -169,18 +181,22 @@
         self.follow(now, total)
 
     def contradicts(self, now: float, total: float) -> None:
-        """Another time than the fleet's, or another gateway's is wrong: a confirmed one leaves that to it."""
+        """This gateway has another time than the fleet, or the beacon's maker has."""
         self.contradictions += 1
         if self.confirmed:
-            self.rest(now)
+            self.watch_for_end(now, total)
         elif total < 0.5:
             self.plan(Step.CREATE, now)
         elif self.contradictions < (1 if self.gateways <= FEW else 2):
             self.plan(Step.READ, now + LIFETIME * self.rng.uniform(1.0, 1.5))
         else:
-            self.synchronizing, self.watch_ends = True, now + PATIENCE
-            self.seen, self.seen_at = total, now
-            self.plan(Step.WATCH, now + POLL_INTERVAL)
+            self.synchronizing = True
+            self.watch_for_end(now, total)
+
+    def watch_for_end(self, now: float, total: float) -> None:
+        self.watch_ends = now + PATIENCE
+        self.seen, self.seen_at = total, now
+        self.plan(Step.WATCH, now + POLL_INTERVAL)
 
     def watch(self, now: float, total: float) -> None:
         if self.is_same(total, self.seen) and now < self.watch_ends:
@@ -189,6 +205,8 @@
         elif self.is_same(total, self.seen):
             self.synchronizing = False
             self.rest(now)
+        elif self.confirmed:  # its own time is the fleet's: the next beacon tells it
+            self.follow(now, total)
         elif now - self.seen_at > 2 * TOLERANCE:  # the end was somewhere in a time without answers
             if total < 0.5:
                 self.plan(Step.WATCH, now + POLL_INTERVAL)
@@ -222,4 +240,8 @@
 
     def rest(self, now: float) -> None:
         """A beacon is there, and this gateway agrees or has to wait for another to yield."""
-        self.plan(Step.READ, now + LIFETIME * self.gateways * self.rng.uniform(0.75, 1.25))
+        self.rest_until(now, Step.READ)
+
+    def rest_until(self, now: float, step: Step) -> None:
+        """The next look, at a rate that does not grow with the fleet."""
+        self.plan(step, now + LIFETIME * self.gateways * self.rng.uniform(0.75, 1.25))
--- a/calicomast/policy/quota.py
+++ b/calicomast/policy/quota.py
@@ -128,6 +128,8 @@
         self.calls.update({event.name: rest} if rest else {})
         ok, acct = event.result == "ok", call.acct
         self.counter.note(now, ok, event.elapsed)
+        if ok:
+            self.fleet_time.counter_answers(now)
         if call.kind == "units":
             acct.call = None
             acct.roll(now)
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -1,6 +1,6 @@
 """A soak of real gateways under faults drawn by a seed, judged from outside by the protocol's rules.
 
-    python tests/soak.py [--seeds 50] [--first 1] [--at-once 4] [--planted NAME]
+    python tests/soak.py [--seeds 50] [--first 1] [--at-once 4] [--planted NAME] [--gateways 30]
 
 A play starts one to four gateways as processes, with stand-ins for hosts, counter and discovery, and clients
 that send to the end. Each broken rule is a line; the exit code is 1 where there was one.
@@ -138,9 +138,10 @@
     return tree
 
 
-def draw(seed):
+def draw(seed, gateways=0):
+    """What a seed stands for; `gateways`: another number of them."""
     rng = random.Random(seed)
-    gateways = rng.choice([1, 2, 2, 3, 4])
+    gateways = gateways or rng.choice([1, 2, 2, 3, 4])
     return Plan(
         gateways=gateways,
         deadline=rng.choice([0.15, 0.4, 1.0, 3.0]),
@@ -607,8 +608,8 @@
     return f"{len(play.requests)} requests ({answers}){pressed}, driver late by {play.late:.2f} s"
 
 
-async def play_seed(seed, planted=""):
-    plan = (SILENT_PLAN if planted == "gone" else PLANTED_PLAN) if planted else draw(seed)
+async def play_seed(seed, planted="", gateways=0):
+    plan = (SILENT_PLAN if planted == "gone" else PLANTED_PLAN) if planted else draw(seed, gateways)
     play = Play(seed, plan, planted)
     await play.run()
     verdict = ", ".join(f"{rule} {count}" for rule, count in play.broken.items()) or "kept"
@@ -618,12 +619,12 @@
     return play.broken
 
 
-async def play_all(seeds, at_once, planted):
+async def play_all(seeds, at_once, planted="", gateways=0):
     room, broken = asyncio.Semaphore(at_once), Tally()
 
     async def one(seed):
         async with room:
-            broken.update(await play_seed(seed, planted))
+            broken.update(await play_seed(seed, planted, gateways))
 
     await asyncio.gather(*(one(seed) for seed in seeds))
     print(f"{len(seeds)} seeds; rules broken: {dict(broken) or 'none'}")
@@ -636,10 +637,11 @@
     parser.add_argument("--first", type=int, default=1)
     parser.add_argument("--at-once", type=int, default=4)
     parser.add_argument("--planted", default="", help="a bug of tests/injected/planted.py")
+    parser.add_argument("--gateways", type=int, default=0, help="of each play, in place of what seeds draw")
     told_by = parser.parse_args()
     logging.getLogger("asyncio").setLevel(logging.CRITICAL)  # of stand-ins that end in the middle of a call
     seeds = list(range(told_by.first, told_by.first + told_by.seeds))
-    return int(bool(uvloop.run(play_all(seeds, told_by.at_once, told_by.planted))))
+    return int(bool(uvloop.run(play_all(seeds, told_by.at_once, told_by.planted, told_by.gateways))))
 
 
 if __name__ == "__main__":
--- a/tests/test_fleet_time.py
+++ b/tests/test_fleet_time.py
@@ -45,6 +45,8 @@
                     ok = not self.down(self.now)
                     total = self.beacon.add(self.now, amount) if ok else 0.0
                     time.counted(self.now + clock, ok, total)
+                if not self.down(self.now) and self.rng.random() < 2 * TICK:  # a lease is asked for
+                    time.counter_answers(self.now + clock)
 
     def spread(self):
         """The largest difference of two gateways' times."""
@@ -110,3 +112,34 @@
     fleet = Fleet(1, [HOUR])
     fleet.run(20.0)
     assert fleet.beacon.calls == 0
+
+
+@pytest.mark.parametrize("seed", range(12))
+@pytest.mark.parametrize("count", [2, 3, 6])
+def test_one_that_starts_wrong_after_the_beacon_has_gone_yields_all_the_same(count, seed):
+    """The beacons' maker has died, and nobody has made another: the one that starts makes a wrong one."""
+    rng = random.Random(seed)
+    fleet = Fleet(seed, clocks_of(count, 0, 0.0, rng), [0.0] * (count - 1) + [66.0 + rng.uniform(0, 1.0)])
+    fleet.members[-1][1] += HOUR
+    fleet.run(60.0)
+    for member in fleet.members[:-1]:  # the beacon's maker stops for a while, the rest look seldom
+        member[0].due = max(member[0].due, 67.2 + rng.uniform(0, 4.0))
+    before = [time.offset for time, _, _ in fleet.members[:-1]]
+    fleet.run(140.0)
+    assert [time.offset for time, _, _ in fleet.members[:-1]] == before
+    assert fleet.spread() <= 0.6
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_counter_that_turns_all_calls_away_before_the_run_is_not_called_again_until_it_answers(seed):
+    rng = random.Random(seed)
+    fleet = Fleet(seed, clocks_of(60, 0, 0.0, rng))
+    fleet.down, calls = (lambda now: now < 10.0), []
+    call = FleetTime.call
+    for time, _, _ in fleet.members:
+        time.call = lambda now, time=time: (calls.append(0), call(time, now))[1]
+    fleet.run(9.0)
+    assert len(calls) == 60
+    fleet.run(60.0)
+    assert all(time.confirmed for time, _, _ in fleet.members)
+    assert fleet.beacon.calls <= 60 * (1 + 2) + 60  # a look for each and two to verify, and a call a second
