--- a/tests/test_accept_shortage.py
+++ b/tests/test_accept_shortage.py
@@ -3,10 +3,23 @@
 import asyncio
 import os
 import resource
+import socket
 
 import pytest
 from gateway_process import gateway_process
-from netkit import SERVED, StubCounter, StubDiscovery, StubHost, command, entry, on_loop, read_reply, told
+from netkit import (
+    SERVED,
+    Node,
+    StubCounter,
+    StubDiscovery,
+    StubHost,
+    command,
+    entry,
+    on_loop,
+    read_reply,
+    told,
+    until,
+)
 
 SHORT, ENOUGH = 0.02, 0.04  # s without a descriptor, and with them
 
@@ -56,3 +69,34 @@
             wanting.cancel()
             assert not lost
             assert answers.count(SERVED) > 300
+
+
+@pytest.mark.parametrize("edge", [{}, {"edge": {}}], ids=["", "edge"])
+@on_loop
+async def test_the_descriptor_of_a_client_that_is_cut_as_it_comes_is_closed_once(edge, tmp_path):
+    """Its number may be another connection's at once, which a second close would end unread."""
+    async with StubHost() as host, Node(host, path=tmp_path, more=edge) as node:
+        node.node.share = lambda: None
+        node.node.clients.most = 0
+        owned = []
+        listener = node.node.clients.listener
+        accept = listener.loop.connect_accepted_socket
+
+        class Loop:
+            """The loop, with an eye on what it is given."""
+
+            def __getattr__(self, name):
+                return getattr(asyncio.get_running_loop(), name)
+
+            async def connect_accepted_socket(self, factory, sock):
+                try:
+                    await accept(factory, sock)
+                finally:
+                    owned.append(sock.fileno())
+
+        listener.loop = Loop()
+        peers = [socket.create_connection(("127.0.0.1", node.port)) for _ in range(10)]
+        await until(lambda: len(owned) == 10)
+        assert set(owned) == {-1}  # the transport's alone
+        for peer in peers:
+            peer.close()
