Rename the package that starts and ends processes: keeper to supervisor

Need: the field's name for what it does; the earlier word was of the house style. Change: the package, its imports and the pages. No behaviour.

--- a/calicomast/demo/play.py
+++ b/calicomast/demo/play.py
@@ -16,7 +16,7 @@
 import uvloop
 
 from calicomast.demo.traffic import OUTCOMES, Traffic
-from calicomast.keeper.fleet import Fleet, StartFailed
+from calicomast.supervisor.fleet import Fleet, StartFailed
 
 BEYOND_MOST = 1.0  # bursts that a customer may be past its quota: what the dead spent, nobody was told
 REFRESH = 0.5  # s
--- a/calicomast/lab/budgets/__main__.py
+++ b/calicomast/lab/budgets/__main__.py
@@ -18,9 +18,9 @@
 from calicomast.budgets.client import Client
 from calicomast.budgets.config import File
 from calicomast.budgets.terms import LEVEL, Budget, Terms
-from calicomast.keeper.fleet import Part, free_port
 from calicomast.lab.budgets.world import IDLE, WORK, Gateway, World
 from calicomast.lab.crowd import cpu
+from calicomast.supervisor.fleet import Part, free_port
 
 GATEWAYS, MOST = 20, 24
 EVEN = 10.0  # units of the level for each of the gateways that are there, and a second of the rate
--- a/calicomast/lab/budgets/world.py
+++ b/calicomast/lab/budgets/world.py
@@ -409,7 +409,7 @@
                 self.after(IDLE + WORK, lambda: self.replace(gateway))
         elif act == "pause":
             gateway.paused = True
-            if rng.random() < 0.3:  # its keeper holds it for dead and starts another
+            if rng.random() < 0.3:  # its supervisor holds it for dead and starts another
                 self.replace(gateway)
         elif act == "pause many":
             for one in rng.sample(self.gateways, len(self.gateways) // 2):
--- a/calicomast/lab/crowd.py
+++ b/calicomast/lab/crowd.py
@@ -24,7 +24,7 @@
 import uvloop
 
 from calicomast.demo.traffic import Door, Line, encode
-from calicomast.keeper.fleet import Fleet
+from calicomast.supervisor.fleet import Fleet
 
 PLAN = {"name": "open", "rate": 1e5, "most_at_once": 1e6}  # nobody is beyond quota here
 TERMS = b"c=reading,t=open,d=3000,units=1,spread=1,first=0"
--- a/calicomast/lab/faults/__main__.py
+++ b/calicomast/lab/faults/__main__.py
@@ -13,9 +13,9 @@
 
 import uvloop
 
-from calicomast.keeper.fleet import StartFailed
 from calicomast.lab.faults.play import FAILED, KEPT, VOID, Play, lines_to
 from calicomast.lab.faults.scenario import SHIPPED, ScenarioError, read_scenario
+from calicomast.supervisor.fleet import StartFailed
 
 CODES = {KEPT: 0, FAILED: 1, VOID: 3}
 
--- a/calicomast/lab/faults/play.py
+++ b/calicomast/lab/faults/play.py
@@ -12,10 +12,10 @@
 
 import msgspec
 
-from calicomast.keeper.fleet import StartFailed
 from calicomast.lab.faults import scenario as told
 from calicomast.lab.faults.lines import Treatment
 from calicomast.lab.faults.world import World
+from calicomast.supervisor.fleet import StartFailed
 
 LOOK = 0.1  # s between two looks at what is checked
 KEPT, FAILED, VOID = "kept", "failed", "void"
--- a/calicomast/lab/faults/world.py
+++ b/calicomast/lab/faults/world.py
@@ -16,13 +16,13 @@
 from pathlib import Path
 from typing import Any
 
-from calicomast.keeper.fleet import NOTHING, Fleet, Part, free_port
 from calicomast.lab.budgets.holder import WORK
 from calicomast.lab.budgets.meter import IDLE
 from calicomast.lab.faults import scenario as told
 from calicomast.lab.faults.lines import PASS, Treatment
 from calicomast.lab.faults.links import LOOPBACK, Network
 from calicomast.standins.site import Json
+from calicomast.supervisor.fleet import NOTHING, Fleet, Part, free_port
 
 SEEDS = 2  # members that the others know at their start
 DUTY = 0.1  # s: a slow process runs for a share of each
--- a/calicomast/lab/scale/__main__.py
+++ b/calicomast/lab/scale/__main__.py
@@ -12,10 +12,10 @@
 
 import uvloop
 
-from calicomast.keeper.fleet import StartFailed
 from calicomast.lab.scale import machine, runs
 from calicomast.lab.scale.programs import program
 from calicomast.lab.scale.service import MOST_OFF
+from calicomast.supervisor.fleet import StartFailed
 
 ROOT = Path(__file__).resolve().parents[3]
 Args = argparse.Namespace
--- a/calicomast/lab/scale/beside.py
+++ b/calicomast/lab/scale/beside.py
@@ -20,11 +20,11 @@
 
 from calicomast.budgets.config import File
 from calicomast.budgets.terms import LEVEL, Budget, Terms
-from calicomast.keeper.fleet import Part, StartFailed, free_port
 from calicomast.lab.scale import machine
 from calicomast.lab.scale.rig import Rig, Wire
 from calicomast.lab.scale.runs import Off, off
 from calicomast.lab.scale.service import Hollow
+from calicomast.supervisor.fleet import Part, StartFailed, free_port
 
 EACH = 50  # a process
 REAL = 5
--- a/calicomast/lab/scale/latency.py
+++ b/calicomast/lab/scale/latency.py
@@ -28,11 +28,11 @@
 from hdrh.histogram import HdrHistogram
 
 from calicomast.demo.traffic import encode
-from calicomast.keeper.fleet import Part
 from calicomast.lab.scale import machine
 from calicomast.lab.scale.rig import Real, Rig, entry
 from calicomast.lab.scale.timed import read_told
 from calicomast.standins.site import Json
+from calicomast.supervisor.fleet import Part
 
 PROCESSES, WORK = 2, 0.005  # of hosts, which wait without work; s that each command takes
 CUSTOMERS = 1000
--- a/calicomast/lab/scale/leases.py
+++ b/calicomast/lab/scale/leases.py
@@ -8,11 +8,11 @@
 import time
 from pathlib import Path
 
-from calicomast.keeper.fleet import Part
 from calicomast.lab.scale import machine
 from calicomast.lab.scale.demand import RATE
 from calicomast.lab.scale.rig import Wire
 from calicomast.lab.scale.service import Hollow
+from calicomast.supervisor.fleet import Part
 
 EACH = 25  # gateways a process
 SETTLE = 2.0  # s
--- a/calicomast/lab/scale/rig.py
+++ b/calicomast/lab/scale/rig.py
@@ -13,9 +13,9 @@
 
 import aiohttp
 
-from calicomast.keeper.fleet import CLASSES, NOTHING, PLANS, Part, StartFailed, free_port
 from calicomast.lab.scale.crowds import NO_NEWS
 from calicomast.standins.site import BASE, Json, config
+from calicomast.supervisor.fleet import CLASSES, NOTHING, PLANS, Part, StartFailed, free_port
 
 ROOT = Path(__file__).resolve().parents[3]
 READY_WITHIN = 60.0  # s
--- a/calicomast/lab/scale/service.py
+++ b/calicomast/lab/scale/service.py
@@ -15,11 +15,11 @@
 import time
 from pathlib import Path
 
-from calicomast.keeper.fleet import Part, StartFailed
 from calicomast.lab.scale import machine
 from calicomast.lab.scale.crowds import Crowd
 from calicomast.lab.scale.rig import Rig, Wire
 from calicomast.lab.scale.runs import Off, off
+from calicomast.supervisor.fleet import Part, StartFailed
 
 MOST_OFF = 0.15
 NO_SOCKET = "no socket for clients"
--- a/calicomast/keeper/fleet.py
+++ b/calicomast/supervisor/fleet.py
@@ -1,4 +1,4 @@
-"""Processes of the program: each is started, asked for readiness, and ends with its keeper in any case."""
+"""Processes of the program: each is started, asked for readiness, and ends with its supervisor."""
 
 from __future__ import annotations
 
@@ -73,7 +73,7 @@
 
 def free_port(kind: socket.SocketKind = socket.SOCK_STREAM) -> int:
     """Of those below the range that connections out take theirs from: one of these could have it a moment
-    later, before the process that it is meant for. None is given twice by one keeper."""
+    later, before the process that it is meant for. None is given twice by one supervisor."""
     for port in random.sample(PORTS, 1000):
         if (kind, port) in given:
             continue
@@ -86,7 +86,7 @@
 
 class Part:
     """One process. Its log is FOLDER/NAME.log; a start again appends to it. `apart`: nothing but its own
-    files is subject to what befalls its disk: its log goes through its keeper, and modes of files count."""
+    files is subject to what befalls its disk: its log goes through the supervisor, and file modes count."""
 
     def __init__(
         self,
--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -14,7 +14,7 @@
 from commands import ROOT, Command
 from netkit import on_loop
 
-from calicomast.keeper.fleet import Fleet, StartFailed
+from calicomast.supervisor.fleet import Fleet, StartFailed
 
 SMALL = ("demo", "--gateways", "2", "--hosts", "2", "--json")
 
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -62,10 +62,10 @@
     "membership": {"base"},
     "registry": {"base", "membership"},
     "standins": set(),
-    "keeper": {"standins"},
-    "demo": {"keeper", "standins"},
+    "supervisor": {"standins"},
+    "demo": {"supervisor", "standins"},
     "budgets": {"base"},
-    "lab": {"demo", "keeper", "standins", "budgets", "membership", "base"},
+    "lab": {"demo", "supervisor", "standins", "budgets", "membership", "base"},
 }
 
 
--- a/tests/test_scale_latency.py
+++ b/tests/test_scale_latency.py
@@ -12,11 +12,11 @@
 from netkit import SERVED, SETTINGS, VALUE, Node, StubHost, command, has_settled, on_loop, terms, until
 
 from calicomast import interface as api
-from calicomast.keeper.fleet import CLASSES
 from calicomast.lab.scale import latency, page, stamped, timed
 from calicomast.lab.scale.latency import PLAN, Asked, Load, by_part, disturbed, joined
 from calicomast.net import admission, gateway, hosts
 from calicomast.policy import Gateway
+from calicomast.supervisor.fleet import CLASSES
 
 FAULT = 1_000_000
 PATIENCE = 30  # s
--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -11,7 +11,6 @@
 import pytest
 import uvloop
 
-from calicomast.keeper.fleet import StartFailed
 from calicomast.lab.scale import __main__ as scale_main
 from calicomast.lab.scale import connects, events, leases, lessees, machine, processes, runs, service, swarm
 from calicomast.lab.scale.demand import RATE
@@ -19,6 +18,7 @@
 from calicomast.lab.scale.rig import Rig, run_module
 from calicomast.membership.core import PERIOD
 from calicomast.net.counter import LINES
+from calicomast.supervisor.fleet import StartFailed
 
 ROOT = Path(__file__).resolve().parent.parent
 PATIENCE = 40  # s: far over what any play here needs
