Failing test: lost answers of the counter mislead gateways about the fleet's time

Change: four gateways with right clocks, a twentieth of the answers lost, ten silent seconds in 200 whose calls are made up for, restarts.

--- a/tests/test_fleet_time.py
+++ b/tests/test_fleet_time.py
@@ -143,3 +143,44 @@
     fleet.run(60.0)
     assert all(time.confirmed for time, _, _ in fleet.members)
     assert fleet.beacon.calls <= 60 * (1 + 2) + 60  # a look for each and two to verify, and a call a second
+
+
+def play_with_losses(seed, count, seconds):
+    """Right clocks, answers lost, calls that a silent counter makes up for later, gateways that start again.
+    Returns the seconds for which gateways had another time, and how long they sought the fleet's."""
+    rng = random.Random(seed)
+    fleet, owed, restart, wrong, seeking = Fleet(seed, clocks_of(count, 0, 0.0, rng)), [], 60.0, 0.0, 0.0
+    while fleet.now < seconds:
+        fleet.now += TICK
+        silent = fleet.now % 200 > 190
+        while owed and not silent:
+            fleet.beacon.add(fleet.now, owed.pop(0))
+        if fleet.now > restart:
+            restart += rng.uniform(30.0, 90.0)
+            member = fleet.members[rng.randrange(count)]
+            member[0] = FleetTime(count, random.Random(rng.random()))
+            member[2] = fleet.now + rng.uniform(0.5, 3.0)
+        for member in fleet.members:
+            time, clock, start = member
+            if start is not None and fleet.now >= start:
+                time.start(fleet.now + clock)
+                member[2] = None
+            while time.due <= fleet.now + clock:
+                amount = time.call(fleet.now + clock)
+                if silent:
+                    owed.append(amount)
+                    time.counted(fleet.now + clock, False, 0.0)
+                else:
+                    total = fleet.beacon.add(fleet.now, amount)
+                    time.counted(fleet.now + clock, rng.random() >= 0.05, total)
+            if not silent and rng.random() < 10 * TICK:
+                time.counter_answers(fleet.now + clock)
+            wrong += TICK * (abs(time.offset) > 0.5)
+            seeking += TICK * time.synchronizing
+    return wrong, seeking
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_lost_answers_and_calls_made_up_for_later_mislead_nobody_for_long(seed):
+    wrong, seeking = play_with_losses(seed, 4, 600.0)
+    assert wrong < 20.0 and seeking < 30.0  # of 2,400
