A beacon that holds more than one stamp says nothing of the fleet's time

Cause: a call without an answer may be added all the same, late after an outage. Two stamps in one beacon, or one taken off it, read as another time, and gateways that started took it over and were confirmed by it at once. Change: stamps have a base, so that sums and differences of them are none; such a beacon is looked at again later. A time that was taken over is confirmed by the next beacon, not by itself.

--- a/calicomast/policy/fleet_time.py
+++ b/calicomast/policy/fleet_time.py
@@ -26,6 +26,7 @@
 LIFETIME = 4.0  # s after which the counter forgets a beacon
 CYCLE = 90_000.0  # s; times are told modulo this, so that a beacon has tenths of a second in its seven digits
 RESOLUTION = 0.1  # s in which a beacon tells its time
+BASE = 100_000.0  # added to each time: two stamps in one beacon, or one taken off it, cannot pass for a time
 TOLERANCE = 0.2  # s by which gateways may differ
 POLL_INTERVAL = 0.1  # s between two looks for the end of a beacon
 RETRY_EACH = 0.02  # s for each gateway, over which they look once the counter answers again
@@ -47,6 +48,11 @@
     WATCH = auto()  # for the end of a beacon that contradicts
 
 
+def is_time(total: float) -> bool:
+    """Whether a beacon's total is one stamp, and not a sum or a difference of several."""
+    return BASE - 0.5 < total < BASE + CYCLE + 0.5
+
+
 def wrapped(seconds: float) -> float:
     """The same difference of two times modulo CYCLE, nearest to 0."""
     return (seconds + CYCLE / 2) % CYCLE - CYCLE / 2
@@ -90,12 +96,12 @@
         return {Step.CREATE: self.stamp, Step.WITHDRAW: -self.stamp}.get(self.step, 0.0)
 
     def time_stamp(self, now: float) -> float:
-        """The fleet's time as a beacon tells it; never 0, which stands for none."""
-        return 1.0 + round((now + self.offset) % CYCLE / RESOLUTION) * RESOLUTION
+        """The fleet's time as a beacon tells it."""
+        return BASE + round((now + self.offset) % CYCLE / RESOLUTION) * RESOLUTION
 
     def age(self, now: float, stamp: float) -> float:
         """Seconds since a beacon was made, by this gateway's idea of the fleet's time."""
-        return wrapped(now + self.offset + 1.0 - stamp)
+        return wrapped(now + self.offset + BASE - stamp)
 
     def counted(self, now: float, ok: bool, total: float) -> None:
         """What came of the call that was out."""
@@ -105,6 +111,10 @@
         if not ok:
             self.failed(now)
             return
+        looks = self.step not in (Step.CREATE, Step.WITHDRAW)
+        if looks and total >= 0.5 and not is_time(total) or total < -0.5:
+            self.spoilt(now)
+            return
         match self.step:
             case Step.READ:
                 self.read(now, total)
@@ -129,6 +139,14 @@
             self.step = Step.READ
         self.rest_until(now, self.step)
 
+    def spoilt(self, now: float) -> None:
+        """The beacon holds what calls without answers have added, as after an outage: it says nothing."""
+        if self.step is Step.WATCH and now < self.watch_ends:
+            self.plan(Step.WATCH, now + POLL_INTERVAL)
+            return
+        self.synchronizing = False
+        self.plan(Step.READ, now + self.rng.uniform(0.5, 1.0) * LIFETIME)
+
     def counter_answers(self, now: float) -> None:
         """Another call was answered: what failed may be tried again."""
         if self.stalled and not self.waiting:
@@ -215,9 +233,9 @@
                 self.plan(Step.WATCH, now + POLL_INTERVAL)
         else:
             ended = (now + self.seen_at) / 2
-            self.offset += wrapped(self.seen - 1.0 + LIFETIME - (ended + self.offset))
-            self.confirmed, self.synchronizing, self.contradictions = True, False, 0
-            self.follow(now, total)
+            self.offset += wrapped(self.seen - BASE + LIFETIME - (ended + self.offset))
+            self.synchronizing, self.contradictions, self.seen = False, 0, 0.0
+            self.plan(Step.READ, now + self.rng.uniform(0.3, 0.8))  # the next beacon confirms it, or does not
 
     def follow(self, now: float, total: float) -> None:
         """What comes after the end of a beacon: the next one, which another may have made already."""
