Soak: planted bugs that are caught with room to spare, whatever the machine does

Change: two in five clients leave in that play; the host that has just started is the best one in the other.

--- a/tests/injected/planted.py
+++ b/tests/injected/planted.py
@@ -40,8 +40,10 @@
 
 
 def failback():
-    """Every host counts as warm."""
+    """Every host counts as warm, and one that has just started as the best."""
+    score = fleet.Fleet.score
     fleet.Server.warmth = lambda self, now, rules: 1.0
+    fleet.Fleet.score = lambda self, s, keys, now: 0.0 if s.began > 0 else score(self, s, keys, now)
     fleet.LIMIT_MOST = 100.0
 
 
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -116,6 +116,7 @@
     faults: list[dict]
     restart: str
     signals: list[str] = field(default_factory=list)
+    leaving: float = 0.04  # share of requests whose client goes away early
 
     @property
     def pressed(self):
@@ -160,7 +161,7 @@
 
 
 PLANTED_PLAN = Plan(2, 1.0, True, False, 0.0, 0.05, 0.0, False, False, False, [{}, {}], "none")
-SILENT_PLAN = Plan(2, 3.0, True, True, 0.3, 0.05, 0.0, False, False, False, [{}, {}], "none")
+SILENT_PLAN = Plan(2, 3.0, True, True, 0.3, 0.05, 0.0, False, False, False, [{}, {}], "none", leaving=0.4)
 CAUGHT_AS = {  # the rule that each planted bug breaks
     "lost": "lost",
     "duplicate": "duplicate",
@@ -371,7 +372,7 @@
         for at, request in enumerate(batch):
             request.sent, request.fresh = now, fresh and at == 0
         link[1].write(b"".join(self.text(request) for request in batch))
-        if rng.random() < 0.04:  # it goes away early
+        if rng.random() < self.plan.leaving:  # it goes away early
             await asyncio.sleep(rng.uniform(0.0, 0.05))
             link[1].transport.abort()
             for request in batch:
