Quota: a window's debt survives the loss of the next window's first call

What callers saw: a customer that had used up a window got most of a burst anew at once where the answer to the next window's first call was lost: 22 units where 7 were left.

Cause: whoever finds a window's count empty brings along what ran over in the last. A first call that was added and not answered fills the count, so nobody finds it empty. The other gateways knew of the debt and gave it up with their first answer, as its total was believed although it was lower than the debt.

Evidence: two gateways on one count, the first call answered or lost and all else alike: 5 units passed in one play and 22 in the other, 19 of them at the gateway that knew of a debt of 18.

Change: a total counts for no less than the known debt and the own adds; a gateway whose first call was lost brings the debt along with its next answer, as far as the total less its own calls is under it. Not where an even part is under a unit.

--- a/api_gateway/policy/customer_accounts.py
+++ b/api_gateway/policy/customer_accounts.py
@@ -96,6 +96,8 @@
         self.counted_units = 0.0  # in the counter's total from this gateway alone
         self.counter_total = 0.0  # as last known, with what was charged since
         self.overdraft = 0.0  # of the window before, which counts in this one
+        self.unseen_overdraft = 0.0  # the same, while this gateway has not brought it along
+        self.lost_units = 0.0  # added to the count of this window by calls that were lost, if they were added
         self.carried_units = 0.0  # owed here from earlier windows
         self.others_carried_units = 0.0  # owed by the other gateways from windows of another length
         self.used_units = 0.0  # in this window, here
@@ -157,6 +159,8 @@
         self.exhausted_until = 0.0
         self.counter_total = overdraft
         self.overdraft = overdraft
+        self.unseen_overdraft = 0.0 if self.has_fractional_share else overdraft
+        self.lost_units = 0.0
         self.rounding_draw = self.rng.random()
         self.carried_units = carried
         self.others_carried_units = 0.0
--- a/api_gateway/policy/quota_leases.py
+++ b/api_gateway/policy/quota_leases.py
@@ -253,6 +253,7 @@
                 account.uncharged_units += call.charged_units  # surely not added: the charge is still owed
                 account.counter_total -= call.charged_units
             else:
+                account.lost_units += call.charged_units + call.requested_units + call.sampled_units
                 account.unconfirmed_units += call.charged_units  # else silent calls would renew the allowance
                 self.timed_out_calls[event.name] = call
                 while len(self.timed_out_calls) > UNHEARD_MOST:
@@ -277,12 +278,11 @@
             call: The call.
         """
         added = call.charged_units + call.requested_units + call.sampled_units
-        correction = 0.0
-        if total <= added + TOTAL_ROUNDING_UNITS and not account.counted_units:
-            correction = account.overdraft  # whoever finds the count empty brings the last overdraft along
-        elif total < account.counted_units + added - TOTAL_ROUNDING_UNITS:
-            correction = account.counted_units  # less than what is ours alone: a count was lost
-        total = max(total, account.others_carried_units + account.counted_units + added)
+        correction = self.missing_units(account, total, added)
+        if not account.counted_units and correction:
+            account.unseen_overdraft = 0.0  # it is brought along here
+        carried = max(account.others_carried_units, account.unseen_overdraft)
+        total = max(total, carried + account.counted_units + added)
         quota = account.window_quota(now)
         if not account.has_fractional_share:  # a window holds a burst at most: what ran over is gone
             used = total + correction - call.requested_units - call.unrefilled_units
@@ -300,6 +300,25 @@
         if correction:
             self.add_to_window(account, correction, CounterCall(account, account.window_number))
 
+    def missing_units(self, account: Account, total: float, added: float) -> float:
+        """Return the units that the count lacks and this gateway has to add.
+
+        Args:
+            account: The customer's.
+            total: The count after a call, in units.
+            added: Units that the call added.
+        """
+        if account.counted_units:  # less than what is ours alone: a count was lost
+            is_lost = total < account.counted_units + added - TOTAL_ROUNDING_UNITS
+            return account.counted_units if is_lost else 0.0
+        if total <= added + TOTAL_ROUNDING_UNITS:  # whoever finds the count empty brings the overdraft along
+            return account.overdraft
+        if not account.lost_units:
+            return 0.0
+        # A first call that was lost may have filled the count: then nobody finds it empty.
+        others = max(0.0, total - added - account.lost_units)
+        return max(0.0, account.unseen_overdraft - others)
+
     def record_grant(
         self, now: float, account: Account, waiting: list[RequestState], sample_weight: float
     ) -> None:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -75,7 +75,7 @@
         self.gw = DecisionEngine(self.conf, seed, start)
         self.log, self.ids = [], 0
         self.counts = {}
-        self.mode = "answer"  # or "silent", "refuse", "hold"
+        self.mode = "answer"  # or "silent", "lose" (added without an answer), "refuse", "hold"
         listed = tuple(hosts if hosts is not None else [host("h1"), host("h2")])
         self.do(api.EndpointList("cached", 1, listed))
 
@@ -87,7 +87,9 @@
             if self.mode == "answer":
                 total = self.counts[call.name] = self.counts.get(call.name, 0) + call.amount
                 acts = acts + self.do(api.CounterReply(call.name, "ok", total, 0.002))
-            elif self.mode == "silent":
+            elif self.mode in ("silent", "lose"):
+                if self.mode == "lose":
+                    self.counts[call.name] = self.counts.get(call.name, 0) + call.amount
                 self.now += 0.05
                 acts = acts + self.do(api.CounterReply(call.name, "timeout", 0, 0.05))
             elif self.mode == "refuse":
--- a/tests/policy/test_quota_leases.py
+++ b/tests/policy/test_quota_leases.py
@@ -366,6 +366,29 @@
     return account
 
 
+@pytest.mark.parametrize("mode", ["answer", "lose"])
+def test_the_overdraft_is_brought_along_though_the_first_call_of_a_window_is_lost(mode):
+    """Two gateways use a window up; the first call of the next one is added, and its answer lost."""
+    one, other = (World(settings(plans=[plan(burst=24.0)]), seed=seed) for seed in (1, 2))
+    other.counts = one.counts
+    account = late_in_a_window(one, 11.9)
+    other.now = one.now
+    for _ in range(22):
+        for gateway in (one, other):
+            served(gateway, 10)
+            gateway.wait(0.5)
+    second_in_next = account.window_start(account.window_number + 1) + 1.0
+    for gateway in (one, other):
+        gateway.wait(second_in_next - gateway.now)
+    left = 24 - (max(one.counts.values()) - 24) + 2.0
+    one.mode = mode
+    passed = served(one, 30)
+    one.mode = "answer"
+    for gateway in (other, one) * 3:
+        passed += served(gateway, 30)
+    assert passed <= left + 2  # and one that is rounded at each
+
+
 def test_a_call_that_is_out_does_not_renew_the_allowance():
     """Late in a window the refill hides what the call has charged."""
     w = World(settings(plans=[plan(burst=24.0)]))
