A connect short of a descriptor no longer ends a client that has just come

Cause: where a connect to an endpoint, discovery or the counter found no descriptor or memory, close_fresh_idle ended a client that had sent one command or none, however young, at one failed socket().

A connect that fails in a shortage is tried once more though nothing could be ended, so that no request is refused for a moment's lack.

--- a/api_gateway/base/descriptors.py
+++ b/api_gateway/base/descriptors.py
@@ -31,11 +31,11 @@
 async def retry_after_reclaim(
     open_once: Callable[[], Awaitable[Opened]], reclaim: Callable[[], bool]
 ) -> Opened:
-    """Open a connection, with one retry after a descriptor was reclaimed.
+    """Open a connection, with one retry in a shortage: it may have been one of a moment.
 
     Args:
         open_once: Makes one attempt to open the connection.
-        reclaim: Closes another connection to free its descriptor. Returns whether there was one to close.
+        reclaim: Closes another connection, if there is one that may go, to free its descriptor.
 
     Returns:
         What `open_once` returns; the caller owns it.
@@ -46,8 +46,9 @@
     try:
         return await open_once()
     except OSError as err:
-        if err.errno not in SHORTAGE_ERRORS or not reclaim():
+        if err.errno not in SHORTAGE_ERRORS:
             raise
+    reclaim()
     # An aborted transport releases its descriptor only in the next turn of the event loop.
     await asyncio.sleep(0)
     return await open_once()
--- a/api_gateway/downstream/client_server.py
+++ b/api_gateway/downstream/client_server.py
@@ -237,12 +237,17 @@
         """Abort an idle connection that has sent one command or none, with nothing unread.
 
         Without a free descriptor no connection to an endpoint, discovery or the counter could be opened,
-        which serve all clients.
+        which serve all clients. A connection that is idle for less than MIN_IDLE_S may be about to bring a
+        request, so it is aborted only as one of a crowd that takes the descriptors.
 
         Returns:
             Whether there was one.
         """
+        since = monotonic() - MIN_IDLE_S
+        is_crowd = len(self.idle.fresh) > max(1.0, self.capacity * FRESH_IDLE_FRACTION)
         for connection in list(islice(self.idle.fresh, EVICTION_CANDIDATES)):
+            if not is_crowd and connection.last_command_at > since:
+                return False  # the others became idle later
             self.idle.discard(connection)  # its next reply brings it back
             if connection.is_busy():
                 continue
--- a/tests/gateway/test_descriptor_shortage.py
+++ b/tests/gateway/test_descriptor_shortage.py
@@ -35,6 +35,7 @@
 from api_gateway.base.accepting import IMMEDIATE_RETRIES, LASTING_SHORTAGE_S
 from api_gateway.control import server as control_net
 from api_gateway.control.host_overrides import HostOverrides
+from api_gateway.downstream.client_server import MIN_IDLE_S
 from api_gateway.downstream.listener import ReservedDescriptor
 from api_gateway.upstream import pool as hosts
 
@@ -471,6 +472,51 @@
         assert await node.ask(command(b"r2")) == SERVED and calls == [False, True]
 
 
+@pytest.mark.parametrize("code", [errno.EMFILE, errno.ENOBUFS], ids=errno.errorcode.get)
+@on_loop
+async def test_a_connect_that_fails_for_a_moment_ends_no_client_that_may_be_about_to_ask(
+    code, tmp_path, monkeypatch
+):
+    """A client's connection may be closed once it has rested for 2 s; the request of a young one is lost."""
+    async with StubHost() as host, Node(host, path=tmp_path) as node:
+        young, served = await node.connect(), await node.connect()
+        served[1].write(command(b"r1"))
+        assert await read_reply(served[0]) == SERVED
+        await has_settled(node.node.upstream.pools["h1"])
+        node.node.upstream.close_longest_idle()
+        failures = [OSError(code, os.strerror(code))]
+
+        def short(*args):
+            if failures:
+                raise failures.pop()
+            return socket.socket(*args)
+
+        monkeypatch.setattr(hosts, "socket", SimpleNamespace(**vars(socket) | {"socket": short}))
+        assert await node.ask(command(b"r2")) == SERVED and not failures
+        for number, (reader, writer) in enumerate((young, served)):
+            writer.write(command(b"young%d" % number))
+            assert await read_reply(reader) == SERVED
+
+
+@on_loop
+async def test_a_connect_with_nothing_left_ends_a_client_that_has_rested_or_is_one_of_a_crowd(tmp_path):
+    async with StubHost() as host, Node(host, path=tmp_path) as node:
+        clients = node.node.clients
+        first, second = await node.connect(), await node.connect()
+        await until(lambda: len(clients.connections) == 2)
+        assert not clients.close_fresh_idle()
+        next(iter(clients.connections)).last_command_at -= MIN_IDLE_S
+        assert clients.close_fresh_idle()
+        assert await first[0].read() == b""
+        assert not clients.close_fresh_idle()
+        third = await node.connect()
+        await until(lambda: len(clients.connections) == 2)
+        clients.capacity = 1
+        assert clients.close_fresh_idle()
+        assert await second[0].read() == b""
+        third[1].close()
+
+
 @pytest.mark.parametrize("left", [0, 1, 2, 10])
 @on_loop
 async def test_short_of_descriptors_discovery_and_the_counter_are_reached_once_they_are_back(left, tmp_path):
