A start waits out a shortage of a moment instead of ending

Cause: open_listening_socket called socket() and bind() once, also for the control address, the list service and the grantor.

Change: a shortage is waited out, a try each 20 ms for 4 s at most, as a restarted process has 6 s to be ready; one log line. Other errors end the start at once as before. The membership's socket is opened the same way. SHORTAGE_ERRORS moves below accepting.

--- a/api_gateway/base/accepting.py
+++ b/api_gateway/base/accepting.py
@@ -14,6 +14,7 @@
 from collections.abc import Callable
 from time import monotonic
 
+from api_gateway.base.descriptors import SHORTAGE_ERRORS, retry_in_shortage
 from api_gateway.base.endpoint_list import Address
 
 ACCEPTS_PER_TURN = 1  # connections accepted before the event loop turns to requests in flight
@@ -22,8 +23,6 @@
 LASTING_SHORTAGE_S = 0.3  # seconds after which a shortage counts as lasting
 LASTING_RETRY_INTERVAL_S = 0.1  # between two retries from then on
 
-# The process or the machine has nothing left to open a connection with.
-SHORTAGE_ERRORS = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ENOBUFS})
 # Errors of the one connection that was to be accepted, as accept(2) passes them on: the next may be sound.
 CONNECTION_ERRORS = frozenset(
     {
@@ -47,15 +46,22 @@
 ProtocolFactory = Callable[[], asyncio.BaseProtocol]
 
 
-def open_listening_socket(address: Address, backlog: int) -> socket.socket:
-    """Return a non-blocking socket that listens at `address`. Raises OSError.
+async def open_listening_socket(address: Address, backlog: int) -> socket.socket:
+    """Return a non-blocking socket that listens at `address`; a shortage is waited out for some seconds.
 
     Args:
         address: HOST and PORT.
         backlog: Connections that may wait to be accepted.
+
+    Raises:
+        OSError: The address cannot be listened at, or the shortage lasts.
     """
     family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-    sock = socket.create_server(address, family=family, backlog=backlog)
+
+    async def open_once() -> socket.socket:
+        return socket.create_server(address, family=family, backlog=backlog)
+
+    sock = await retry_in_shortage(open_once)
     sock.setblocking(False)
     return sock
 
@@ -206,6 +212,6 @@
             self.resume()
 
 
-def serve(address: Address, factory: ProtocolFactory, backlog: int) -> AcceptingServer:
+async def serve(address: Address, factory: ProtocolFactory, backlog: int) -> AcceptingServer:
     """Listen at `address`, HOST and PORT, for protocols from `factory`. Raises OSError."""
-    return AcceptingServer(open_listening_socket(address, backlog), factory)
+    return AcceptingServer(await open_listening_socket(address, backlog), factory)
--- a/api_gateway/base/descriptors.py
+++ b/api_gateway/base/descriptors.py
@@ -1,16 +1,20 @@
-"""Opening connections when the process or the machine has run out of descriptors, memory or ports."""
+"""Opening sockets when the process or the machine has run out of descriptors, memory or ports."""
 
 from __future__ import annotations
 
 import asyncio
 import errno
+import logging
 from collections.abc import Awaitable, Callable
+from time import monotonic
 from typing import TypeVar
 
-from api_gateway.base.accepting import SHORTAGE_ERRORS
+log = logging.getLogger(__name__)
 
 Opened = TypeVar("Opened")
 
+# The process or the machine has nothing left to open a socket with.
+SHORTAGE_ERRORS = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ENOBUFS})
 # A connect that finds no free local port fails with EADDRNOTAVAIL; an accept never does.
 CONNECT_SHORTAGE_ERRORS = SHORTAGE_ERRORS | {errno.EADDRNOTAVAIL}
 
@@ -23,6 +27,38 @@
     return isinstance(err, OSError) and err.errno in CONNECT_SHORTAGE_ERRORS
 
 
+# For which a start waits out a shortage: a restarted process is to be ready within 6 s.
+START_SHORTAGE_TIMEOUT_S = 4.0
+START_RETRY_INTERVAL_S = 0.02
+
+
+async def retry_in_shortage(open_once: Callable[[], Awaitable[Opened]]) -> Opened:
+    """Open what a process cannot serve without, and wait out a shortage.
+
+    Args:
+        open_once: Makes one attempt to open it.
+
+    Returns:
+        What `open_once` returns; the caller owns it.
+
+    Raises:
+        OSError: It cannot be opened, or the shortage lasts longer than START_SHORTAGE_TIMEOUT_S. Other
+            exceptions of `open_once` pass through as well.
+    """
+    give_up_at = monotonic() + START_SHORTAGE_TIMEOUT_S
+    is_logged = False
+    while True:
+        try:
+            return await open_once()
+        except OSError as err:
+            if err.errno not in SHORTAGE_ERRORS or monotonic() >= give_up_at:
+                raise
+            if not is_logged:
+                log.warning("a socket could not be opened at the start, retrying error=%s", err)
+                is_logged = True
+        await asyncio.sleep(START_RETRY_INTERVAL_S)
+
+
 def reclaim_nothing() -> bool:
     """Return False: the `reclaim` function of a caller that has no connection to give up."""
     return False
--- a/api_gateway/budgets/service.py
+++ b/api_gateway/budgets/service.py
@@ -78,7 +78,7 @@
             self.write_wanted.set()  # how long all grants may last stands in the log from the first moment on
             self.tasks.append(loop.create_task(self.keep_writing()))
         self.tasks.append(loop.create_task(self.keep_releasing()))
-        self.listener = serve(self.config.listen, self.server, BACKLOG)
+        self.listener = await serve(self.config.listen, self.server, BACKLOG)
         port: int = self.listener.sockets[0].getsockname()[1]
         return port
 
--- a/api_gateway/control/server.py
+++ b/api_gateway/control/server.py
@@ -112,7 +112,7 @@
 
     async def listen(self, address: Address) -> int:
         """Open the control address and return its port. Raises OSError."""
-        sock = open_listening_socket(address, BACKLOG)
+        sock = await open_listening_socket(address, BACKLOG)
         self.listener = BoundedServer(sock, self.server, MOST_CALLERS + MOST_ENDING)
         self.server.on_connection_ended = self.listener.connection_ended
         port: int = self.listener.sockets[0].getsockname()[1]
--- a/api_gateway/downstream/admission.py
+++ b/api_gateway/downstream/admission.py
@@ -14,7 +14,8 @@
 from functools import partial
 from time import monotonic
 
-from api_gateway.base.accepting import CONNECTION_ERRORS, SHORTAGE_ERRORS
+from api_gateway.base.accepting import CONNECTION_ERRORS
+from api_gateway.base.descriptors import SHORTAGE_ERRORS
 from api_gateway.downstream.admission_settings import AdmissionSettings
 from api_gateway.downstream.client_connection import ClientConnection
 from api_gateway.downstream.client_server import ClientServer
--- a/api_gateway/downstream/client_server.py
+++ b/api_gateway/downstream/client_server.py
@@ -114,7 +114,7 @@
         sock = (
             socket.socket(fileno=os.dup(inherited))
             if inherited is not None
-            else open_listening_socket((host, port), LISTEN_BACKLOG)
+            else await open_listening_socket((host, port), LISTEN_BACKLOG)
         )
         sock.setblocking(False)
         if edge is not None:
--- a/api_gateway/membership/service.py
+++ b/api_gateway/membership/service.py
@@ -15,6 +15,7 @@
 from time import monotonic
 from typing import Any, TypeGuard, cast
 
+from api_gateway.base.descriptors import retry_in_shortage
 from api_gateway.base.endpoint_list import read_address, write_address
 from api_gateway.membership.errors import MembershipConfigError
 from api_gateway.membership.member_table import Member as KnownMember
@@ -161,7 +162,9 @@
         """
         loop = asyncio.get_running_loop()
         seeds = await resolve_seeds(self.config.seeds)
-        self.transport, _ = await loop.create_datagram_endpoint(lambda: self, local_addr=self.config.listen)
+        self.transport, _ = await retry_in_shortage(
+            lambda: loop.create_datagram_endpoint(lambda: self, local_addr=self.config.listen)
+        )
         bound = cast(Address, self.transport.get_extra_info("sockname")[:2])
         self.swim = Swim(
             self.config.cluster,
--- a/api_gateway/registry/service.py
+++ b/api_gateway/registry/service.py
@@ -87,7 +87,7 @@
         if self.config.hosts_path is not None:
             self.registry.load(self.clock(), read_hosts(self.config.hosts_path))
         self.learned_at = self.clock() + self.config.learning_duration_s
-        self._listener = serve(self.config.listen, self.server, LISTEN_BACKLOG)
+        self._listener = await serve(self.config.listen, self.server, LISTEN_BACKLOG)
         self._run_due()
         port: int = self._listener.sockets[0].getsockname()[1]
         if self.config.membership:
