--- a/tests/gateway_process.py
+++ b/tests/gateway_process.py
@@ -17,6 +17,10 @@
 PING, PONG = b"*1\r\n$4\r\nPING\r\n", b"+PONG\r\n"
 
 
+class GatewayEndedError(AssertionError):
+    """A gateway's process that ended before it listened."""
+
+
 class GatewayProcess:
     """A process that runs, its two ports and what it has logged so far."""
 
@@ -57,12 +61,19 @@
     }
     process = await asyncio.create_subprocess_exec(*PROGRAM, cwd=ROOT, env=env, stderr=subprocess.PIPE)
     log, ports = [], []
-    while len(ports) < 2:  # the second address, then the clients'
-        line = (await process.stderr.readline()).decode()
-        assert line, f"the gateway ended at its start: {''.join(log)}"
-        log.append(line)
-        if "listens on" in line or "calls are taken at" in line:
-            ports.append(int(line.rsplit(":", 1)[1]))
+    try:
+        while len(ports) < 2:  # the second address, then the clients'
+            line = (await process.stderr.readline()).decode()
+            if not line:
+                raise GatewayEndedError(f"the gateway ended at its start: {''.join(log)}")
+            log.append(line)
+            if "listens on" in line or "calls are taken at" in line:
+                ports.append(int(line.rsplit(":", 1)[1]))
+    except BaseException:  # also where the caller gives up: no process stays behind
+        with contextlib.suppress(ProcessLookupError):
+            process.kill()
+        await process.wait()
+        raise
     started = GatewayProcess(process, *ports, log)
     started.reading = asyncio.create_task(read_log(process, log))
     return started
--- a/tests/injected/planted.py
+++ b/tests/injected/planted.py
@@ -73,6 +73,11 @@
     threading.Timer(4.0, os._exit, (3,)).start()
 
 
+def start():
+    """The process ends before it listens."""
+    os._exit(3)
+
+
 PLANTED = {
     "lost": lost,
     "duplicate": duplicate,
@@ -82,6 +87,7 @@
     "deadline": deadline,
     "quota": quota,
     "crash": crash,
+    "start": start,
 }
 
 
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -25,7 +25,7 @@
 sys.path[:0] = [str(ROOT), str(ROOT / "tests")]
 
 import uvloop  # noqa: E402
-from gateway_process import end_gateway, start_gateway  # noqa: E402
+from gateway_process import GatewayEndedError, end_gateway, start_gateway  # noqa: E402
 from netkit import SETTINGS, StubCounter, StubDiscovery, command, entry, read_reply, terms, told  # noqa: E402
 
 from api_gateway.emulators.host import VALUE, WorkingHost  # noqa: E402
@@ -47,6 +47,7 @@
 AFTER_CLOSE = 0.1  # s after a client's close in which an attempt may still begin
 LATE_ANSWER = 0.5  # s past its time until which an answer only earns nothing
 READY_WITHIN = 10.0  # s
+STARTED_WITHIN = 30.0  # s after which a start is given up
 COME_AFTER_TERM = 0.2  # s after SIGTERM in which new connections surely keep coming
 KINDS = {"read": b"API.READ", "write": b"API.WRITE", "note": b"API.WRITE"}
 ERRNOS = {
@@ -132,7 +133,6 @@
             kind: [rng.choice([ERRNOS[kind], [rng.choice(ERRNOS[kind])]]), rng.choice([0.05, 0.2, 0.3])]
             for kind in kinds
         }
-        tree["from"] = 1.5  # it is judged as a gateway that runs; a start that finds nothing may end
     if rng.random() < 0.5:
         off = rng.choice([-3600.0, -5.0, 5.0, 3600.0])
         tree["clock"] = rng.choice([[[0, off]], [[0, off], [3, 0.0]], [[0, 0.0], [4, off]]])
@@ -171,6 +171,7 @@
     "deadline": "deadline",
     "quota": "over quota",
     "crash": "crashed",
+    "start": "ready",
 }
 
 
@@ -269,9 +270,17 @@
         folder = self.folder / f"{index}-{len(self.lives[index])}"
         folder.mkdir()
         faults = self.plan.faults[index] | {"planted": self.planted}
-        process = await start_gateway(folder, self.tree(index), faults, "config.json", self.listen(index))
-        self.processes[index] = process
-        await process.ready()
+        self.processes[index] = None
+        try:
+            async with asyncio.timeout(STARTED_WITHIN):
+                process = await start_gateway(
+                    folder, self.tree(index), faults, "config.json", self.listen(index)
+                )
+                self.processes[index] = process
+                await process.ready()
+        except (GatewayEndedError, TimeoutError) as error:
+            self.breaks("ready", f"gateway {index}: {error or 'not within its time'}")
+            return
         life.ready = time.monotonic()
         if life.ready - life.started > READY_WITHIN:
             self.breaks("ready", f"gateway {index} after {life.ready - life.started:.1f} s")
@@ -309,6 +318,8 @@
     def look_at(self, index):
         """What the process left in its log, and whether it ended by itself."""
         process, life = self.processes[index], self.lives[index][-1]
+        if process is None:  # it ended at its start
+            return
         traced = [line for line in process.log if "Traceback" in line]
         if traced:
             at = process.log.index(traced[0])
@@ -491,6 +502,8 @@
             self.discovery.servers = [entry(host, host.name) for host in self.hosts[:-1]]
             stack.push_async_callback(self.end_all)
             await asyncio.gather(*(self.start(index) for index in range(self.plan.gateways)))
+            if self.broken:  # without all of its gateways it is no play
+                return self.broken
             watching = asyncio.create_task(self.watch_driver())
             began = time.monotonic()
             clients = [self.client(index, number, began + SECONDS)
