Reclaim ends no connection whose descriptor could not be used again

What callers saw: under a limit of descriptors lowered below the numbers in use every request was answered -BUSY once discovery was late.

Cause: a connect that finds no descriptor ends the longest idle connection to an endpoint. A number from the limit on can't be used again, so the connect failed all the same and the next try ended the next connection.

Evidence, a log line at each call (a trial): four calls by discovery's fetch, limit=3, idle connections to hosts 32, 31, 30, 29, one fewer each time, then 12,369 requests answered -BUSY. On time discovery makes no call in that moment: that is why it came and went.

Change: only a connection whose descriptor lies below the limit is ended for it.

--- a/api_gateway/downstream/client_server.py
+++ b/api_gateway/downstream/client_server.py
@@ -233,13 +233,16 @@
             return True
         return False
 
-    def close_fresh_idle(self) -> bool:
+    def close_fresh_idle(self, descriptor_limit: float = math.inf) -> bool:
         """Abort an idle connection that has sent one command or none, with nothing unread.
 
         Without a free descriptor no connection to an endpoint, discovery or the counter could be opened,
         which serve all clients. A connection that is idle for less than MIN_IDLE_S may be about to bring a
         request, so it is aborted only as one of a crowd that takes the descriptors.
 
+        Args:
+            descriptor_limit: Only a connection with a descriptor below this number is aborted.
+
         Returns:
             Whether there was one.
         """
@@ -248,6 +251,8 @@
         for connection in list(islice(self.idle.fresh, EVICTION_CANDIDATES)):
             if not is_crowd and connection.last_command_at > since:
                 return False  # the others became idle later
+            if connection.transport.get_extra_info("socket").fileno() >= descriptor_limit:
+                continue
             self.idle.discard(connection)  # its next reply brings it back
             if connection.is_busy():
                 continue
--- a/api_gateway/gateway/process_limits.py
+++ b/api_gateway/gateway/process_limits.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import resource
 import sys
 from dataclasses import dataclass
@@ -26,6 +27,12 @@
         return int(file.read().split()[1]) * resource.getpagesize()
 
 
+def descriptor_limit() -> float:
+    """Return the number from which on this process may open no descriptor."""
+    limit = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    return math.inf if limit == resource.RLIM_INFINITY else limit
+
+
 @dataclass(frozen=True, slots=True)
 class Capacity:
     """What one process may hold.
@@ -76,11 +83,16 @@
         self._upstream.close_excess_idle()
 
     def reclaim_descriptor(self) -> bool:
-        """End one connection for its descriptor, where none can be opened without; tell whether one ended."""
+        """End one connection for its descriptor, where none can be opened without; tell whether one ended.
+
+        A descriptor from the process's limit on can't be used again, as after the limit was lowered: its end
+        would only take a connection away that serves.
+        """
+        limit = descriptor_limit()
         return (
             self._clients.close_lingering()
-            or self._upstream.close_longest_idle()
-            or self._clients.close_fresh_idle()
+            or self._upstream.close_longest_idle(limit)
+            or self._clients.close_fresh_idle(limit)
         )
 
     def shortage(self, fresh: Config) -> str:
--- a/api_gateway/upstream/endpoint_pools.py
+++ b/api_gateway/upstream/endpoint_pools.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections import OrderedDict
 from collections.abc import Callable
 from time import monotonic
@@ -183,11 +184,16 @@
         """Return the number of idle connections."""
         return len(self.idle)
 
-    def close_longest_idle(self) -> bool:
-        """Close the longest idle connection. Return whether there was one."""
-        if self.idle:
-            next(iter(self.idle)).close()
-            return True
+    def close_longest_idle(self, descriptor_limit: float = math.inf) -> bool:
+        """Close the longest idle connection. Return whether there was one.
+
+        Args:
+            descriptor_limit: Only a connection with a descriptor below this number is closed.
+        """
+        for connection in self.idle:
+            if connection.sock.fileno() < descriptor_limit:
+                connection.close()
+                return True
         return False
 
     def close_idle(self, endpoint_id: str) -> None:
--- a/tests/gateway/test_descriptor_shortage.py
+++ b/tests/gateway/test_descriptor_shortage.py
@@ -37,6 +37,7 @@
 from api_gateway.control.host_overrides import HostOverrides
 from api_gateway.downstream.client_server import MIN_IDLE_S
 from api_gateway.downstream.listener import ReservedDescriptor
+from api_gateway.gateway import process_limits
 from api_gateway.upstream import pool as hosts
 
 ROOM = 32  # connections of clients that 128 descriptors leave room for
@@ -517,6 +518,22 @@
         third[1].close()
 
 
+@on_loop
+async def test_below_a_lowered_limit_no_connection_ends_for_a_descriptor_that_cannot_be_used(
+    tmp_path, monkeypatch
+):
+    """Discovery that is away would take the connections to hosts one after the other, and gain nothing."""
+    async with StubHost() as host, Node(host, path=tmp_path) as node:
+        assert await node.ask(command()) == SERVED
+        await has_settled(node.node.upstream.pools["h1"])
+        (idle,) = node.node.upstream.idle
+        number = idle.sock.fileno()
+        monkeypatch.setattr(process_limits, "descriptor_limit", lambda: number)
+        assert not node.node.limits.reclaim_descriptor() and not idle.transport.is_closing()
+        monkeypatch.setattr(process_limits, "descriptor_limit", lambda: number + 1)
+        assert node.node.limits.reclaim_descriptor() and idle.transport.is_closing()
+
+
 @pytest.mark.parametrize("left", [0, 1, 2, 10])
 @on_loop
 async def test_short_of_descriptors_discovery_and_the_counter_are_reached_once_they_are_back(left, tmp_path):
