List service: a weight of 400 digits is answered 400, not 500

What callers saw: a host that registers with a whole number beyond a float as its weight got 500 and the log a traceback.

Cause: math.isfinite raises OverflowError for it, before the check of the range that refuses it.

Change: a whole number is finite, and the range decides.

Measured: the two new cases failed before (500 for 400) and pass, tests/registry passes.

--- a/api_gateway/registry/registration.py
+++ b/api_gateway/registry/registration.py
@@ -82,4 +82,6 @@
 
 
 def _is_finite_number(value: object) -> bool:
-    return isinstance(value, int | float) and not isinstance(value, bool) and math.isfinite(value)
+    if isinstance(value, float):
+        return math.isfinite(value)
+    return isinstance(value, int) and not isinstance(value, bool)  # of any size: isfinite() would overflow
--- a/tests/registry/test_registry_service.py
+++ b/tests/registry/test_registry_service.py
@@ -138,6 +138,8 @@
         ("PUT /v1/hosts/h", {"incarnation": True}, 400, "incarnation"),
         ("PUT /v1/hosts/h", {"weight": 0}, 400, "weight"),
         ("PUT /v1/hosts/h", {"weight": 1e999}, 400, "weight"),
+        ("PUT /v1/hosts/h", {"weight": int("9" * 400)}, 400, "weight"),
+        ("PUT /v1/hosts/h", {"weight": -int("9" * 400)}, 400, "weight"),
         ("PUT /v1/hosts/h", {"weight": float("nan")}, 400, "weight"),
         ("PUT /v1/hosts/h", {"cell": 1.5}, 400, "cell"),
         ("PUT /v1/hosts/h", {"started_ms": -1}, 400, "started_ms"),
