Configuration history: a pending confirmation's versions are whole numbers

What callers saw: nothing in service. A history file with true or 1.0 for a version of its pending confirmation was taken as a gateway's own, and a confirmation that nobody asked for ran out.

Cause: the numbers were compared by == and in, for which True and 1.0 are 1; only the versions' own numbers were checked by type.

Change: they are checked by type as well; such a file is not read, as any foreign one. What gateways write is unchanged (golden bytes).

Measured: the two new cases failed before and pass; tests/control and tests/golden pass.

--- a/api_gateway/control/config_history.py
+++ b/api_gateway/control/config_history.py
@@ -206,10 +206,18 @@
     numbers = [version.number for version in versions]
     if numbers != sorted(set(numbers)):
         return False
-    pending = history.pending
-    if pending is None:
-        return True
-    return pending.number == numbers[-1] and pending.previous in numbers and is_number(pending.deadline)
+    return history.pending is None or is_valid_pending(history.pending, numbers)
+
+
+def is_valid_pending(pending: PendingConfirmation, numbers: list[int]) -> bool:
+    """Return whether a decoded confirmation has values such as a gateway writes, for versions `numbers`."""
+    return (
+        type(pending.number) is int
+        and pending.number == numbers[-1]
+        and type(pending.previous) is int
+        and pending.previous in numbers
+        and is_number(pending.deadline)
+    )
 
 
 def is_valid_version(version: ConfigVersion, digest: Any) -> bool:
--- a/tests/control/test_config_changes.py
+++ b/tests/control/test_config_changes.py
@@ -591,6 +591,12 @@
         '["x", {"number": 1, "back": 7, "until": 1}, [[1, "'
         + content_digest("{}")
         + '", 1.0, "start", null, {}]]]',
+        '["x", {"number": true, "back": 1, "until": 1}, [[1, "'
+        + content_digest("{}")
+        + '", 1.0, "start", null, {}]]]',
+        '["x", {"number": 1, "back": 1.0, "until": 1}, [[1, "'
+        + content_digest("{}")
+        + '", 1.0, "start", null, {}]]]',
     ],
 )
 @on_loop
