--- a/tests/policy/test_quota_leases.py
+++ b/tests/policy/test_quota_leases.py
@@ -366,9 +366,8 @@
     return account
 
 
-@pytest.mark.parametrize("mode", ["answer", "lose"])
-def test_the_overdraft_is_brought_along_though_the_first_call_of_a_window_is_lost(mode):
-    """Two gateways use a window up; the first call of the next one is added, and its answer lost."""
+def used_up_window():
+    """Two gateways with one count, a second into the window after one that they used up; the units left."""
     one, other = (World(settings(plans=[plan(burst=24.0)]), seed=seed) for seed in (1, 2))
     other.counts = one.counts
     account = late_in_a_window(one, 11.9)
@@ -380,7 +379,13 @@
     second_in_next = account.window_start(account.window_number + 1) + 1.0
     for gateway in (one, other):
         gateway.wait(second_in_next - gateway.now)
-    left = 24 - (max(one.counts.values()) - 24) + 2.0
+    return one, other, 24 - (max(one.counts.values()) - 24) + 2.0
+
+
+@pytest.mark.parametrize("mode", ["answer", "lose"])
+def test_the_overdraft_is_brought_along_though_the_first_call_of_a_window_is_lost(mode):
+    """Two gateways use a window up; the first call of the next one is added, and its answer lost."""
+    one, other, left = used_up_window()
     one.mode = mode
     passed = served(one, 30)
     one.mode = "answer"
@@ -389,6 +394,16 @@
     assert passed <= left + 2  # and one that is rounded at each
 
 
+def test_a_gateway_that_has_just_started_brings_along_what_ran_over_in_the_window_before():
+    one, other, left = used_up_window()
+    fresh = World(settings(plans=[plan(burst=24.0)]), seed=3, start=one.now)
+    fresh.counts = one.counts
+    passed = served(fresh, 30)
+    for gateway in (one, other, fresh) * 2:
+        passed += served(gateway, 30)
+    assert passed <= left + 24 / 2 * 0.5 + 3  # its allowance, and one that is rounded at each
+
+
 def test_a_call_that_is_out_does_not_renew_the_allowance():
     """Late in a window the refill hides what the call has charged."""
     w = World(settings(plans=[plan(burst=24.0)]))
