Quota code: bounds by their usual names, what a lease call adds in one place

Need: constants of the files that the mends touched had two forms of name (..._MOST beside MAX_...) and units in remarks; the sum of what a lease call adds stood three times. Change: MAX_ACCOUNT_IDLE_S, MAX_BACKOFF_S, MAX_TIMED_OUT_CALLS, MAX_SAMPLED_REQUESTS; LeaseCall.added_units.

--- a/api_gateway/policy/counter_calls.py
+++ b/api_gateway/policy/counter_calls.py
@@ -15,7 +15,7 @@
 CONGESTED_LATENCY_FRACTION = 0.5  # part of the time-out from which on calls are rationed
 CONGESTION_PRICE_SLOPE = 4.0  # price of a call, in attempts, for each further part of the time-out
 HALF_CONGESTION_GATEWAY_COUNT = 20.0  # gateways at which half the congestion is expected before any answer
-BACKOFF_MOST = 1.0  # s; longest backoff from a silent counter
+MAX_BACKOFF_S = 1.0  # from a silent counter
 SILENT_FAILURE_COUNT = 2  # failures in a row after which the counter is taken for silent
 CORRECTION_CALL_VALUE = 0.15  # of a call that only corrects a count, or checks a limit seldom reached
 
@@ -43,6 +43,11 @@
     sample_weight: float  # requests that each waiting one stands for
     unrefilled_units: float  # of `charged_units`: admitted just now, not made good by the refill
 
+    @property
+    def added_units(self) -> float:
+        """All that the call adds to the count."""
+        return self.charged_units + self.requested_units + self.sampled_units
+
 
 @dataclass(slots=True)
 class OpenAttemptCall(CounterCall):
@@ -98,7 +103,7 @@
             self.failure_count = 0
         elif now >= self.retry_at:  # a burst of failures counts once
             self.failure_count += 1
-            self.retry_at = now + min(BACKOFF_MOST, self.timeout * 2.0 ** (self.failure_count - 1))
+            self.retry_at = now + min(MAX_BACKOFF_S, self.timeout * 2.0 ** (self.failure_count - 1))
 
 
 class CounterCalls:
--- a/api_gateway/policy/customer_accounts.py
+++ b/api_gateway/policy/customer_accounts.py
@@ -16,9 +16,9 @@
 if TYPE_CHECKING:
     from api_gateway.policy.counter_calls import LeaseCall
 
-IDLE_MOST = 60.0  # s; life of an account without requests
+MAX_ACCOUNT_IDLE_S = 60.0  # life of an account without requests
 
-MAX_WINDOW_S = 60.0  # of a window: the counter keeps a count no longer
+MAX_WINDOW_S = 60.0  # the counter keeps a count no longer
 
 # Uncharged use
 UNCHARGED_ALLOWANCE_FRACTION = 0.5  # of this gateway's even part of what is left: may be admitted uncharged
@@ -369,7 +369,7 @@
         self.accounts[request.customer] = account
         account.last_request_at = now
         oldest = next(iter(self.accounts.values()))
-        is_idle = now - oldest.last_request_at > IDLE_MOST
+        is_idle = now - oldest.last_request_at > MAX_ACCOUNT_IDLE_S
         if is_idle and not (oldest.pending_call or oldest.open_attempts_here):
             del self.accounts[oldest.name]
         return account
--- a/api_gateway/policy/quota_leases.py
+++ b/api_gateway/policy/quota_leases.py
@@ -36,10 +36,10 @@
 INITIAL_GRANTED_FRACTION = (0.5, 0.3)  # of first requests and of repeats, taken as granted before any was
 RESERVED_BURST_FRACTION = 0.2  # kept from the class with the lowest priority weight for the highest one
 CALL_TIME_COST = 0.3  # cost of a call's time at the full time-out, for the square of the part of it
-UNHEARD_MOST = 256  # timed-out calls that are remembered in case their totals come after all
+MAX_TIMED_OUT_CALLS = 256  # timed-out calls that are remembered in case their totals come after all
 TOTAL_ROUNDING_UNITS = 0.01  # by which a total may be off: it is written with some digits only
 MAX_SAMPLE_WEIGHT = 20.0  # requests that a call stands for at most in what a plan was granted
-SAMPLE_MOST = 4.0  # requests that a sampled charge stands for at most: more makes the count jump
+MAX_SAMPLED_REQUESTS = 4.0  # requests that a sampled charge stands for at most: more makes the count jump
 MIN_CHARGE_UNITS = 1.0  # uncharged use up to this starts no call by itself
 COUNT_LIFETIME_WINDOWS = 3  # windows for which the counter is asked to keep a count
 
@@ -198,7 +198,7 @@
         if requested + account.uncharged_units <= 0:
             self.settle_waiting_requests(now, account)
             return
-        sampled = needed * (min(SAMPLE_MOST, sample_weight) - 1)
+        sampled = needed * (min(MAX_SAMPLED_REQUESTS, sample_weight) - 1)
         self.send_lease_call(now, account, requested, sampled, sample_weight)
 
     def send_lease_call(
@@ -217,7 +217,7 @@
         account.pending_call = call
         account.counter_total += account.uncharged_units
         account.uncharged_units = 0.0
-        self.add_to_window(account, requested + call.charged_units + call.sampled_units, call)
+        self.add_to_window(account, call.added_units, call)
 
     def add_to_window(self, account: Account, units: float, call: CounterCall) -> None:
         """Send a call that adds units to the count of the account's window."""
@@ -253,10 +253,10 @@
                 account.uncharged_units += call.charged_units  # surely not added: the charge is still owed
                 account.counter_total -= call.charged_units
             else:
-                account.lost_units += call.charged_units + call.requested_units + call.sampled_units
+                account.lost_units += call.added_units
                 account.unconfirmed_units += call.charged_units  # else silent calls would renew the allowance
                 self.timed_out_calls[event.name] = call
-                while len(self.timed_out_calls) > UNHEARD_MOST:
+                while len(self.timed_out_calls) > MAX_TIMED_OUT_CALLS:
                     del self.timed_out_calls[next(iter(self.timed_out_calls))]
         self.settle_waiting_requests(now, account)
 
@@ -277,7 +277,7 @@
             total: The count after the call, in units.
             call: The call.
         """
-        added = call.charged_units + call.requested_units + call.sampled_units
+        added = call.added_units
         correction = self.missing_units(account, total, added)
         if not account.counted_units and correction:
             account.unseen_overdraft = 0.0  # it is brought along here
