--- a/api_gateway/policy/customer_accounts.py
+++ b/api_gateway/policy/customer_accounts.py
@@ -18,8 +18,6 @@
 
 MAX_ACCOUNT_IDLE_S = 60.0  # life of an account without requests
 
-MAX_WINDOW_S = 60.0  # the counter keeps a count no longer
-
 # Uncharged use
 UNCHARGED_ALLOWANCE_FRACTION = 0.5  # of this gateway's even part of what is left: may be admitted uncharged
 CHARGE_THRESHOLD_FRACTION = 0.5  # of that allowance: so much uncharged use starts a call that charges it
@@ -48,9 +46,8 @@
 class Account:
     """A customer's quota as this gateway sees it, in windows of one length.
 
-    A window refills at the plan's rate and holds at most a burst. It lasts as long as a burst refills, or
-    MAX_WINDOW_S where that takes longer; what is missing of the burst then is its overdraft. Units are the
-    plan's; times are seconds of the module's clock.
+    A window refills at the plan's rate and holds at most a burst. Units are the plan's; times are seconds
+    of the module's clock.
     """
 
     def __init__(
@@ -83,7 +80,7 @@
         self.previous_accounts: list[Account] = []  # in other windows, while these or their attempts last
 
         self.clock_offset = clock_offset
-        self.window_length = min(plan.burst / plan.rate, MAX_WINDOW_S) if plan.rate else 1.0
+        self.window_length = plan.burst / plan.rate if plan.rate else 1.0
         self.window_phase = stable_hash(self.name, "phase") % 4096 / 4096 * self.window_length
         self.window_number = self.window_at(now)
         self.window_started_at = self.window_start(self.window_number)
@@ -140,7 +137,7 @@
         number = self.window_at(now)
         if number == self.window_number:
             return
-        refilled = self.window_refill() * (number - self.window_number)
+        refilled = self.plan.burst * (number - self.window_number)
         started_at = self.window_start(number)
         if self.has_fractional_share:  # a unit admitted here stands for one at each gateway
             carried = 0.0
@@ -168,10 +165,6 @@
         self.carried_units = carried
         self.others_carried_units = 0.0
 
-    def window_refill(self) -> float:
-        """Return the units that a window refills: a burst, but for windows cut to MAX_WINDOW_S."""
-        return self.plan.rate * self.window_length if self.plan.rate else self.plan.burst
-
     def unanswered_charge(self) -> float:
         """Return the units charged in this window by calls that are out or were lost."""
         call = self.pending_call
