--- a/review/2/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""Case 2: whole requests stay unanswered past their time while large values are written slowly."""
+"""Case 3: whole requests stay unanswered past their time while large values are written slowly."""
 
 from __future__ import annotations
 
--- a/review/harness.py
+++ b/review/harness.py
@@ -236,6 +236,7 @@
     Attributes:
         process: The gateway; it is started by the deploy file's command.
         peak_mb: The most memory that the gateway was seen to hold, in MB.
+        env: The environment of the gateway.
     """
 
     def __init__(self, record: Record, hosts: list[Host], site_settings: dict[str, Any]) -> None:
@@ -250,6 +251,7 @@
         self.port = free_port()
         self.process: asyncio.subprocess.Process | None = None
         self.peak_mb = 0.0
+        self.env: dict[str, str] = {}
 
     async def __aenter__(self) -> Site:
         """Start the stand-ins and the gateway, and wait until it answers PING."""
@@ -260,7 +262,7 @@
         self.discovery.servers = [host.entry() for host in self.hosts]
         (self.folder / "tmp").mkdir()
         self.write_config()
-        environment = {
+        self.env = {
             **os.environ,
             "RELAY_NAME": "n0",
             "RELAY_CONFIG": str(self.folder / "config.json"),
@@ -270,7 +272,7 @@
         }
         log = open(self.folder / "log", "wb")  # noqa: SIM115
         self.process = await asyncio.create_subprocess_exec(
-            "/bin/sh", "-c", deploy_command("run"), cwd=ROOT, env=environment, stdout=log, stderr=log
+            "/bin/sh", "-c", deploy_command("run"), cwd=ROOT, env=self.env, stdout=log, stderr=log
         )
         log.close()
         try:
