--- a/review/harness.py
+++ b/review/harness.py
@@ -367,9 +367,10 @@
         async with asyncio.timeout(110):
             return await case(record, trouble)
 
+    signal.signal(signal.SIGTERM, signal.default_int_handler)  # so that the processes end with the case
     try:
         held = asyncio.run(bounded())
-    except Exception as err:
+    except (Exception, KeyboardInterrupt) as err:
         record.write(f"the case could not run: {type(err).__name__} {err}")
         return NOT_RUN
     record.write("the rule held" if held else "the rule was broken")
