Large bodies are freed with their request, not when the garbage collector comes

Cause: a request and its reply referred to each other, so a finished request and its body waited for the cycle collector, which counts objects and not bytes, while the budget counted the body as free. Related paths kept bodies as well: the cycle of a request and the attempt that streams its answer, the sinks left in the readers of clients' and hosts' connections, replies behind an unanswered one, and the buffer of a host that answers before it has read the body.

Evidence: after three writes, nothing in work and no byte reserved, 3 requests were alive, referred to by their replies, and the last body by the reader's sink; with large answers 3 requests and 3 attempts outlived a full collection.

Change: a body owns its place in the budget and is passed from the connection to the request. To clear the reply's reference alone would have released it twice where a request ends while it is admitted. The end of a request clears the references back to it, a reader drops its sink, and a connection with unwritten bytes is not kept.

--- a/api_gateway/base/resp.py
+++ b/api_gateway/base/resp.py
@@ -124,6 +124,10 @@
         self.buffered = b""
         self.feed(data)
 
+    def discard_sink(self) -> None:
+        """Drop the sink and what it refers to, because the stream is not read any further."""
+        self.sink = None
+
     def is_large_part(self) -> bool:
         """Return whether the element of the last header may be a large string."""
         return self.parts_due == self.parts_behind_large and self.array_parts == self.large_array_parts
@@ -224,6 +228,7 @@
         if self.large_bytes_left:
             return b""
         self.sink(CRLF)
+        self.sink = None
         self.reader.feed(LARGE_STRING_PLACEHOLDER)
         return data[len(chunk) :]
 
--- a/api_gateway/downstream/body_budget.py
+++ b/api_gateway/downstream/body_budget.py
@@ -1,4 +1,4 @@
-"""Large request bodies: the receive buffer of one body and the memory budget shared by all."""
+"""Large request bodies: one body with its reservation, and the memory budget shared by all."""
 
 from __future__ import annotations
 
@@ -11,18 +11,25 @@
     from api_gateway.downstream.client_connection import ClientConnection
 
 
-class IncomingBody:
-    """A buffer of the announced length that collects a large body from its chunks.
+class LargeBody:
+    """A large body, which is collected from its chunks, and its reservation in the budget.
 
-    The bytes are reserved in the BodyBudget before the first chunk is read.
+    The bytes are reserved in the BodyBudget before the first chunk is read. One owner at a time holds the
+    reservation: the connection while the body arrives, afterwards the request.
+
+    Attributes:
+        data: A buffer of the announced length.
+        received_bytes: How many bytes of it have arrived.
     """
 
-    __slots__ = ("data", "received_bytes")
+    __slots__ = ("data", "received_bytes", "_budget", "_is_released")
 
-    def __init__(self, length: int) -> None:
-        """Allocate the buffer for a body of `length` bytes."""
+    def __init__(self, length: int, budget: BodyBudget) -> None:
+        """Allocate the buffer for a body of `length` bytes, which `budget` has reserved."""
         self.data = bytearray(length)
         self.received_bytes = 0
+        self._budget = budget
+        self._is_released = False
 
     def append(self, chunk: bytes) -> None:
         """Store the next chunk; the line end after the complete body is dropped."""
@@ -30,12 +37,18 @@
             self.data[self.received_bytes : self.received_bytes + len(chunk)] = chunk
             self.received_bytes += len(chunk)
 
+    def release(self) -> None:
+        """Return the reservation; further calls do nothing. Nobody may keep `data` any longer."""
+        if not self._is_released:
+            self._is_released = True
+            self._budget.release(len(self.data))
+
 
 class BodyBudget:
     """Memory budget for large bodies, in bytes, shared by all client connections.
 
-    Connections without capacity are not read and wait in order of arrival. The owner of a reservation
-    returns it with `release`: the connection while the body is arriving, afterwards the request's owner.
+    Connections without capacity are not read and wait in order of arrival. The owner of a LargeBody returns
+    its reservation.
     """
 
     def __init__(self) -> None:
--- a/api_gateway/downstream/client_connection.py
+++ b/api_gateway/downstream/client_connection.py
@@ -11,7 +11,7 @@
 import hiredis
 
 from api_gateway.base.resp import INCOMPLETE, STREAMING_THRESHOLD_BYTES, RespReader
-from api_gateway.downstream.body_budget import IncomingBody
+from api_gateway.downstream.body_budget import LargeBody
 from api_gateway.downstream.client_socket import count_unread_bytes, find_disconnected, shut_down_sending
 from api_gateway.downstream.pending_reply import PendingReply
 
@@ -54,7 +54,7 @@
         self.command_count = 0  # complete commands received
         # Input that is incomplete or not handled yet.
         self.partial_command_bytes = 0  # bytes read of an incomplete command
-        self.incoming_body: IncomingBody | None = None
+        self.incoming_body: LargeBody | None = None
         self.awaits_body_budget = False
         self.awaits_turn = False  # whether commands that were read wait in a fair queue
         # Monotonic times.
@@ -87,10 +87,11 @@
         self.server.remove_connection(self)
         if self.on_closed is not None:
             self.on_closed()
+        self.reader.discard_sink()
         body = self.incoming_body
         self.incoming_body = None
         if body:
-            self.server.body_budget.release(len(body.data))
+            body.release()
         self._abandon_requests()
 
     def eof_received(self) -> bool:
@@ -143,7 +144,7 @@
         self.awaits_body_budget = False
         self.partial_command_bytes = 0
         self.last_read_at = monotonic()
-        self.incoming_body = IncomingBody(length)
+        self.incoming_body = LargeBody(length, self.server.body_budget)
         self.reader.pass_on(self.incoming_body.append)
         self.read_commands()
 
@@ -160,12 +161,13 @@
         self.incoming_body = None
         if body and isinstance(command, list):
             command[-1] = body.data
-        pending_reply = PendingReply(self)
+        pending_reply = PendingReply(self, body)
         self.pending_replies.append(pending_reply)
         self.server.idle.discard(self)
         self.server.handler.handle_command(pending_reply, command)
-        if body and pending_reply.request is None:  # the handler rejected it and won't release the body
-            self.server.body_budget.release(len(body.data))
+        rejected_body = pending_reply.take_large_body()
+        if rejected_body:
+            rejected_body.release()
 
     def _check_partial_command(self) -> None:
         """Reserve the budget for a large body, or fail a command that is too long."""
--- a/api_gateway/downstream/client_server.py
+++ b/api_gateway/downstream/client_server.py
@@ -61,7 +61,10 @@
     """Serves the commands of all connections."""
 
     def handle_command(self, pending_reply: PendingReply, command: Any, /) -> None:
-        """Serve a RESP value of any shape: complete `pending_reply`, or set its `request` to do so later."""
+        """Serve a RESP value of any shape: complete `pending_reply`, or set its `request` to do so later.
+
+        A handler that keeps a large body takes it from `pending_reply` and releases it.
+        """
         ...
 
     def on_client_disconnected(self, pending_reply: PendingReply, /) -> None:
--- a/api_gateway/downstream/pending_reply.py
+++ b/api_gateway/downstream/pending_reply.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Any
 
 if TYPE_CHECKING:
+    from api_gateway.downstream.body_budget import LargeBody
     from api_gateway.downstream.client_connection import ClientConnection
 
 
@@ -16,16 +17,24 @@
     `complete` alone, or with any number of `write_piece` calls and then `complete` with the remainder.
     """
 
-    __slots__ = ("connection", "encoded_reply", "request", "on_writable")
+    __slots__ = ("connection", "encoded_reply", "request", "on_writable", "_large_body")
 
-    def __init__(self, connection: ClientConnection) -> None:
-        """Create a reply that is not completed yet."""
+    def __init__(self, connection: ClientConnection, large_body: LargeBody | None = None) -> None:
+        """Create a reply that is not completed yet, to a command with `large_body` if it has one."""
         self.connection = connection
         self.encoded_reply: bytes | None = None
         # For a reply written in chunks: called whenever more of it may be written.
         self.on_writable: Callable[[], None] | None = None
-        # State of the handler for a command that it has accepted and not answered yet.
+        # State of the handler for a command that it has accepted and not answered yet. The handler clears it
+        # when it has finished with the command, because the state refers to this reply, too.
         self.request: Any = None
+        self._large_body = large_body
+
+    def take_large_body(self) -> LargeBody | None:
+        """Return the large body of the command, if any; the caller owns its reservation from now on."""
+        large_body = self._large_body
+        self._large_body = None
+        return large_body
 
     def complete(self, encoded_reply: bytes) -> None:
         """Complete the reply, which is written as soon as all earlier replies are."""
--- a/api_gateway/gateway/in_flight.py
+++ b/api_gateway/gateway/in_flight.py
@@ -9,7 +9,6 @@
 from collections.abc import Callable
 
 from api_gateway import interface as api
-from api_gateway.downstream.body_budget import BodyBudget
 from api_gateway.downstream.pending_reply import PendingReply
 from api_gateway.gateway.active_config import ActiveConfig
 from api_gateway.gateway.event_dispatcher import EventDispatcher
@@ -42,6 +41,7 @@
         id: The request id chosen by the client.
         pending_reply: The reply to this request on the client's connection.
         command: The command as the client sent it; a large body is a bytearray.
+        large_body: The large body, whose reservation the request owns; None if the body is small.
         deadline: When attempts have to end, ANSWER_RESERVE_S before the client's deadline, in seconds of the
             monotonic clock.
         limits: The limits from the settings under which the request was admitted.
@@ -56,6 +56,7 @@
         "id",
         "pending_reply",
         "command",
+        "large_body",
         "deadline",
         "limits",
         "guard",
@@ -77,6 +78,7 @@
         self.id = id
         self.pending_reply = pending_reply
         self.command = command
+        self.large_body = pending_reply.take_large_body()
         self.deadline = deadline
         self.limits = limits
         self.guard: asyncio.TimerHandle | None = None
@@ -87,9 +89,16 @@
 
     @property
     def body(self) -> bytearray | None:
-        """The body if it is a large one, which counts towards the body budget; None otherwise."""
-        last = self.command[-1]
-        return last if isinstance(last, bytearray) else None
+        """The bytes of a large body, which count towards the body budget; None if the body is small."""
+        return self.large_body.data if self.large_body is not None else None
+
+    def discard_references(self) -> None:
+        """Drop the references to what refers to this request, so that it is freed at once.
+
+        Otherwise it would stay, with its body, until the garbage collector looks for cycles.
+        """
+        self.pending_reply.request = None
+        self.streaming_attempt = None
 
     def payload(self, time_left: float) -> bytes:
         """Encode the command as the client sent it, with the deadline field `d` replaced.
@@ -120,12 +129,9 @@
     Attributes:
         in_flight: The requests by id. Each is removed when it is answered and its last attempt has ended.
         small_body_bytes: Total bytes of the small bodies of these requests.
-        body_budget: The budget for large client bodies; set by the composition root.
         is_rejecting_all: Whether all new requests are rejected because the process is about to exit.
     """
 
-    body_budget: BodyBudget
-
     def __init__(
         self,
         active: ActiveConfig,
@@ -188,7 +194,7 @@
         )
         pending_reply.request = admitted
         self.in_flight[request.request_id] = admitted
-        if admitted.body is None:
+        if admitted.large_body is None:
             self.small_body_bytes += len(command[-1])
         guard_delay = max(0.0, request.time_left + ANSWER_RESERVE_S - GUARD_MARGIN_S)
         admitted.guard = self._loop.call_later(guard_delay, self._on_overdue, admitted)
@@ -269,8 +275,9 @@
             return
         if self.in_flight.pop(request.id, None) is None:
             return
-        if request.body is not None:
-            self.body_budget.release(len(request.body))
+        request.discard_references()
+        if request.large_body is not None:
+            request.large_body.release()
         else:
             self.small_body_bytes -= len(request.command[-1])
 
--- a/api_gateway/gateway/node.py
+++ b/api_gateway/gateway/node.py
@@ -77,7 +77,6 @@
         self.serving = ServingState(self.active, self.dispatcher, self.upstream, self.siblings)
         self.requests = InFlightRequests(self.active, self.dispatcher, self.upstream, self.serving.is_serving)
         self.clients = ClientServer(self.requests, 0)
-        self.requests.body_budget = self.clients.body_budget
         self.attempts = AttemptRunner(self.requests, self.upstream, self.dispatcher)
         self.endpoint_updates = EndpointUpdates(self.upstream, self.dispatcher, self.serving)
         self.limits = ProcessLimits(self.active, self.clients, self.upstream)
--- a/api_gateway/upstream/connection.py
+++ b/api_gateway/upstream/connection.py
@@ -177,6 +177,7 @@
         """
         attempt = self.attempt
         self.attempt = None
+        self._reader.discard_sink()
         self.pool.remove(self)
         if self.transport is not None and not self.transport.is_closing():
             with contextlib.suppress(OSError):
@@ -205,7 +206,8 @@
         self._resume_reading()
         result = read_reply(attempt, reply)
         self.pool.record_response_time(attempt.response_time())
-        if self._reader.has_data():
+        # An answer may come before the request is written. The rest must not stay in the buffer.
+        if self._reader.has_data() or not self.is_written:
             self.close()
         else:
             self.pool.add_idle(self)
--- a/tests/gateway_process.py
+++ b/tests/gateway_process.py
@@ -31,6 +31,12 @@
         with contextlib.suppress(ProcessLookupError):
             self.process.send_signal(number)
 
+    def anonymous_mb(self):
+        """Return the memory of the process in MB, without the pages of files."""
+        status = Path(f"/proc/{self.process.pid}/status").read_text(encoding="ascii")
+        rows = (line.split() for line in status.splitlines())
+        return sum(int(row[1]) for row in rows if row[0] in ("RssAnon:", "RssShmem:")) / 1024
+
     async def status(self):
         return (await call_control(self.control_port, "GET /status"))[1]
 
