A request is answered with the end of its large value, not with the end of the answer

Cause: a request was finished when its attempt ended, and a streamed attempt ended with the parts that follow the value. The timers of both are cancelled when a value begins, so only the limit on a stalled value (20 s) ended an answer whose last parts never come, and no reply behind it was written.

Evidence: in a trace of the code before, the value was complete at 0.046 s, the reply to the next request was ready and stood second at 0.751 s behind one that counted as unanswered, and both were finished at 20.057 s by close_if_stalled.

Change: the reply is complete with the last byte of the value. The attempt waits for the rest for 1 s, then it ends as served and its connection is closed. Related paths: what follows a value is bounded in size, and an attempt with a whole value counts as served even if its host has not read the command to its end.

--- a/api_gateway/gateway/attempt_runner.py
+++ b/api_gateway/gateway/attempt_runner.py
@@ -108,7 +108,8 @@
         """Start streaming a large value from the first attempt that receives one to the client.
 
         From then on only this attempt can answer the request, and the deadline of the request no longer
-        applies.
+        applies. The request is answered once the value is complete, even if the rest of the answer never
+        arrives.
 
         Args:
             attempt: The attempt.
@@ -136,6 +137,7 @@
             header = b""
 
         attempt.value_sink = write_chunk
+        attempt.on_value_complete = partial(self._requests.finish, request, bulk_string(attempt.value))
         started = api.ResponseStarted(request.id, number, attempt.endpoint_id, attempt.response_time())
         self._dispatcher.dispatch(started)
         return attempt.result == ""
--- a/api_gateway/gateway/in_flight.py
+++ b/api_gateway/gateway/in_flight.py
@@ -220,7 +220,7 @@
 
         Args:
             request: The request.
-            reply: The bytes to send; empty if the client has disconnected.
+            reply: The bytes to send, unless the value was streamed; empty if the client has disconnected.
         """
         if request.is_answered:
             return
--- a/api_gateway/upstream/attempt.py
+++ b/api_gateway/upstream/attempt.py
@@ -46,6 +46,8 @@
         value_sink: Receives the chunks of a large value.
         is_value_blocked: Returns whether reading of the chunks must pause.
         is_value_complete: Whether the sink has received all chunks.
+        on_value_complete: Called once if the value is complete but the parts of the answer that follow it
+            have not arrived yet.
     """
 
     __slots__ = (
@@ -66,6 +68,7 @@
         "value_sink",
         "is_value_blocked",
         "is_value_complete",
+        "on_value_complete",
         "send_deadline",
         "deadline",
     )
@@ -104,6 +107,7 @@
         self.value_sink: Callable[[bytes], None] | None = None
         self.is_value_blocked: Callable[[], bool] | None = None
         self.is_value_complete = False
+        self.on_value_complete: Callable[[], None] | None = None
         self.result = ""
         self.value = b""
         self.metered_use = 0
--- a/api_gateway/upstream/connection.py
+++ b/api_gateway/upstream/connection.py
@@ -26,6 +26,8 @@
 RECEIVE_BUFFER_BYTES = 64 * 1024
 # A connection is closed if no byte of a large value in transfer arrives for this long.
 VALUE_STALL_TIMEOUT_S = 20.0
+# Seconds for the parts of an answer that follow a large value to arrive; the client has its reply by then.
+ANSWER_END_TIMEOUT_S = 1.0
 
 
 class ConnectionOwner(Protocol):
@@ -138,7 +140,7 @@
             return
         self._last_activity_at = monotonic()
         self._reader.feed(data)
-        if attempt.value_sink is None:
+        if attempt.value_sink is None or attempt.is_value_complete:
             self._received_bytes += len(data)
         self._read_answer(attempt)
 
@@ -197,6 +199,8 @@
         if reply is INCOMPLETE:
             if self._reader.large_string_bytes and attempt.value_sink is None:
                 self._begin_value(attempt)
+            elif attempt.is_value_complete:
+                self._await_answer_end(attempt)
             elif self._received_bytes > MAX_REPLY_BYTES and attempt.value_sink is None:
                 self.close()
             elif attempt.is_value_blocked is not None and attempt.is_value_blocked():
@@ -225,6 +229,21 @@
             return
         self.resume_value()
 
+    def _await_answer_end(self, attempt: Attempt) -> None:
+        """Report that the value is complete, and wait a limited time for the parts that follow it."""
+        on_value_complete = attempt.on_value_complete
+        if on_value_complete is None:  # it has already been reported
+            if self._received_bytes > MAX_REPLY_BYTES:
+                self.close()
+            return
+        attempt.on_value_complete = None
+        attempt.is_value_blocked = None
+        self._received_bytes = 0  # from here on, of the parts that follow the value
+        self._resume_reading()
+        loop = asyncio.get_running_loop()
+        attempt.timer = loop.call_later(ANSWER_END_TIMEOUT_S, self.pool.abandon, attempt, "timeout")
+        on_value_complete()
+
     def _pause_reading(self) -> None:
         if not self.is_paused and self.transport is not None and not self.transport.is_closing():
             self.is_paused = True
--- a/api_gateway/upstream/endpoint_pools.py
+++ b/api_gateway/upstream/endpoint_pools.py
@@ -145,10 +145,10 @@
                 pool.cancel_wait(attempt)
             attempt.end("connect_failed")
             return
-        if not connection.is_written:
-            result = "connect_failed"
-        elif attempt.is_value_complete:
+        if attempt.is_value_complete:
             result = "ok"
+        elif not connection.is_written:
+            result = "connect_failed"
         connection.attempt = None
         connection.close()
         attempt.end(result)
