A request whose large body waits for memory is answered in time, and the wait counts

A drain ended such a connection without an answer.

Cause: a body over 64 KiB waits unread for a place in the budget, without any limit, as slow bodies keep theirs; no timeout is looked at while reading is paused, and the deadline was counted from the end of the wait.

Evidence: in a trace of the code before, 16 of 16 MiB reserved and 4, 4 and 0.1 MiB waiting for 3.5 s, then the request parsed with 0.0001 s elapsed and 2.970 s left.

Change: the reader gives a command as soon as only its large body is missing, so its time is known. It waits for half of that; then the body is read and not kept, and -BUSY answers it. Its time counts from the last read before the wait, until a pause in an empty socket shows that the client was still sending. A drain rejects waiting commands as it ends reading. Clients that leave free their place in the queue. The reading of commands with their bodies is a module of its own. /status has the new field large_bodies (reserved, waiting, rejected): the status' pinned bytes, the list of imported modules and the name of a bound are changed accordingly, as strict.

--- a/api_gateway/base/resp.py
+++ b/api_gateway/base/resp.py
@@ -41,7 +41,8 @@
 
     One element of an array may be a large string. Once its header has arrived, `large_string_bytes` is its
     length, and the following bytes are buffered until `pass_on` provides a sink for its chunks. In the value
-    that `gets` then returns, the string is empty.
+    that `gets` returns, the string is empty. If it is the last element, `gets` returns the value as soon as
+    the header has arrived, and `is_large_string_due` tells that its string has not.
 
     Attributes:
         gets: Returns the next complete value, or INCOMPLETE. After the last complete value it raises
@@ -132,6 +133,10 @@
         """Return whether the element of the last header may be a large string."""
         return self.parts_due == self.parts_behind_large and self.array_parts == self.large_array_parts
 
+    def is_large_string_due(self) -> bool:
+        """Return whether the value that `gets` returned last ends with a large string still to be read."""
+        return self.large_string_bytes > 0 and not self.parts_behind_large and not self.reader.has_data()
+
     def is_in_large_part(self) -> bool:
         """Return whether an element that may be a large string has begun and is incomplete."""
         return self.is_large_part() and (
@@ -161,6 +166,8 @@
             self._fail(data[:offset])
             return
         self.reader.feed(data[:offset])
+        if not self.parts_behind_large:
+            self.reader.feed(LARGE_STRING_PLACEHOLDER)
         self.large_string_bytes = length - 2
         self.buffered = data[end + 2 :]
         self.partial_line = b""
@@ -229,7 +236,8 @@
             return b""
         self.sink(CRLF)
         self.sink = None
-        self.reader.feed(LARGE_STRING_PLACEHOLDER)
+        if self.parts_behind_large:
+            self.reader.feed(LARGE_STRING_PLACEHOLDER)
         return data[len(chunk) :]
 
     def _emit(self, string: bytes) -> None:
--- a/api_gateway/downstream/client_connection.py
+++ b/api_gateway/downstream/client_connection.py
@@ -10,20 +10,18 @@
 
 import hiredis
 
-from api_gateway.base.resp import INCOMPLETE, STREAMING_THRESHOLD_BYTES, RespReader
-from api_gateway.downstream.body_budget import LargeBody
+from api_gateway.base.resp import INCOMPLETE
 from api_gateway.downstream.client_socket import count_unread_bytes, find_disconnected, shut_down_sending
+from api_gateway.downstream.command_reader import MAX_COMMAND_BYTES, CommandReader
+from api_gateway.downstream.large_body import DiscardedBody, LargeBody
 from api_gateway.downstream.pending_reply import PendingReply
+from api_gateway.downstream.send_time import SendTime
 
 if TYPE_CHECKING:
     from api_gateway.downstream.client_server import ClientServer
 
-# Limit for one command without its large body, framing included.
-MAX_COMMAND_BYTES = STREAMING_THRESHOLD_BYTES + 4096
 # Commands in flight per connection; reading pauses at this number.
 MAX_PENDING_COMMANDS = 512
-# Position of the large body: a command with one has 5 parts, and the body has index 4.
-LARGE_PART = (5, 4)
 # Seconds for the first command of a connection, or a command that has begun, to arrive without its large
 # body.
 COMMAND_TIMEOUT_S = 2.5
@@ -35,6 +33,8 @@
 LINGER_TIMEOUT_S = 1.0
 # Seconds for the first command on a connection that is accepted during a drain.
 DRAIN_FIRST_COMMAND_TIMEOUT_S = 1.0
+# Seconds after the end of reading in a drain for the body of a rejected command to arrive.
+DRAIN_DISCARD_S = 1.0
 
 
 class ClientConnection(asyncio.Protocol):
@@ -49,18 +49,19 @@
         """Create the protocol of a connection that is being accepted by `server`."""
         self.server = server
         self.transport: asyncio.Transport
-        self.reader = RespReader(MAX_COMMAND_BYTES, LARGE_PART)
+        self.reader = CommandReader()
         self.pending_replies: deque[PendingReply] = deque()
         self.command_count = 0  # complete commands received
         # Input that is incomplete or not handled yet.
         self.partial_command_bytes = 0  # bytes read of an incomplete command
-        self.incoming_body: LargeBody | None = None
         self.awaits_body_budget = False
         self.awaits_turn = False  # whether commands that were read wait in a fair queue
         # Monotonic times.
         now = monotonic()
         self.connected_at = now
         self.last_read_at = now  # when bytes were last read
+        self.send_time = SendTime(now)  # when the client sent them, at the earliest
+        self.body_wait_ends_at = 0.0  # while a large body awaits the budget: when its command is rejected
         self.last_command_at = now  # when the last command was complete; initially the time of connecting
         self.command_due_since: float | None = now  # start of COMMAND_TIMEOUT_S; None: between commands
         self.write_progress_at = 0.0  # when the client last read something while writing is paused
@@ -88,8 +89,8 @@
         if self.on_closed is not None:
             self.on_closed()
         self.reader.discard_sink()
-        body = self.incoming_body
-        self.incoming_body = None
+        self.server.body_budget.cancel(self)
+        body = self.reader.take_body()
         if body:
             body.release()
         self._abandon_requests()
@@ -105,7 +106,10 @@
             return
         self.reader.feed(data)
         self.last_read_at = monotonic()
-        self.partial_command_bytes = 0 if self.incoming_body else self.partial_command_bytes + len(data)
+        self.send_time.on_read(self.last_read_at, self.count_unread_bytes)
+        self.partial_command_bytes = (
+            0 if self.reader.incoming_body else self.partial_command_bytes + len(data)
+        )
         if self.command_due_since is None:
             self.command_due_since = self.last_read_at
         self.read_commands()
@@ -128,7 +132,7 @@
     def read_commands(self) -> None:
         """Handle all complete commands in the reader."""
         try:
-            while (command := self.reader.gets()) is not INCOMPLETE:
+            while (command := self.reader.next_command()) is not INCOMPLETE:
                 self._handle_command(command)
         except hiredis.ProtocolError:
             self._fail(b"-ERR protocol error\r\n")
@@ -141,13 +145,24 @@
 
     def on_body_reserved(self, length: int) -> None:
         """Start receiving a large body, for which the budget has reserved `length` bytes."""
+        self._receive_body(LargeBody(length, self.server.body_budget))
+
+    def _receive_body(self, body: LargeBody | DiscardedBody) -> None:
+        """Read a large body, which has perhaps waited unread."""
         self.awaits_body_budget = False
         self.partial_command_bytes = 0
         self.last_read_at = monotonic()
-        self.incoming_body = LargeBody(length, self.server.body_budget)
-        self.reader.pass_on(self.incoming_body.append)
+        if self.reading_paused:
+            self.send_time.on_wait_ended(self.last_read_at)
+        self.reader.receive_body(body)
         self.read_commands()
 
+    def _reject_body(self) -> None:
+        """Stop waiting for the budget: read the large body without keeping it, and reject its command."""
+        self.server.body_budget.cancel(self)
+        self.server.body_budget.rejected_count += 1
+        self._receive_body(DiscardedBody())
+
     def on_overload(self) -> None:
         """React to a command rejected because no endpoint had capacity; the base class does nothing."""
 
@@ -157,13 +172,16 @@
         self.last_command_at = monotonic()
         self.command_count += 1
         self.command_due_since = self.last_command_at if self.reader.has_data() else None
-        body = self.incoming_body
-        self.incoming_body = None
-        if body and isinstance(command, list):
-            command[-1] = body.data
-        pending_reply = PendingReply(self, body)
+        body = self.reader.take_body()
+        if body:
+            self.send_time.on_large_command_ended()
+        large_body = body if isinstance(body, LargeBody) else None
+        pending_reply = PendingReply(self, large_body)
         self.pending_replies.append(pending_reply)
         self.server.idle.discard(self)
+        if isinstance(body, DiscardedBody):
+            self.server.handler.reject_command(pending_reply, command)
+            return
         self.server.handler.handle_command(pending_reply, command)
         rejected_body = pending_reply.take_large_body()
         if rejected_body:
@@ -174,6 +192,9 @@
         # Reserve only once part of the body has arrived, because an attacker can announce bodies at no cost.
         if self.reader.buffered and not self.awaits_body_budget:
             self.awaits_body_budget = True
+            self.body_wait_ends_at = monotonic() + self.server.handler.body_wait_limit(
+                self.reader.partial_command
+            )
             self.server.body_budget.reserve(self.reader.large_string_bytes, self)
         # A command that never ends must not exhaust the memory.
         elif self.partial_command_bytes > MAX_COMMAND_BYTES and not self.awaits_body_budget:
@@ -206,7 +227,7 @@
         return bool(
             self.pending_replies
             or self.closing
-            or self.incoming_body
+            or self.reader.incoming_body
             or self.awaits_body_budget
             or self.awaits_turn
             or self.transport.is_closing()
@@ -218,7 +239,7 @@
             not (
                 self.pending_replies
                 or self.closing
-                or self.incoming_body
+                or self.reader.incoming_body
                 or self.awaits_body_budget
                 or self.awaits_turn
                 or self.command_due_since is not None
@@ -228,7 +249,11 @@
 
     def has_unread_bytes(self) -> bool:
         """Return whether bytes are unread in the socket; closing it would then reset the connection."""
-        return count_unread_bytes(self.transport.get_extra_info("socket").fileno()) > 0
+        return self.count_unread_bytes() > 0
+
+    def count_unread_bytes(self) -> int:
+        """Return the number of unread bytes in the socket."""
+        return count_unread_bytes(self.transport.get_extra_info("socket").fileno())
 
     def is_closed_by_half_close(self) -> bool:
         """Return whether a client that has shut its sending side counts as disconnected."""
@@ -273,6 +298,9 @@
         self._check_write_progress(now)
         if self.broken or self.command_due_since is None:
             return self.writing_paused
+        if self.awaits_body_budget and now >= self.body_wait_ends_at:
+            self._reject_body()
+            return True
         if self.reading_paused or self.awaits_turn:
             return True
         if self.reader.is_in_large_part():
@@ -294,12 +322,18 @@
             self.transport.abort()
 
     def _check_drain(self, now: float, drain_started_at: float) -> None:
-        """Stop reading late in a drain and close if nothing is pending; complete commands are served."""
-        if now - drain_started_at > self.server.drain_read_s and (
-            self.pending_replies or now - self.connected_at > DRAIN_FIRST_COMMAND_TIMEOUT_S
-        ):
-            self.reading_stopped = True
-            self.update_reading()
+        """Stop reading late in a drain and close if nothing is pending; complete commands are served.
+
+        A command whose body waits for the budget may be complete, too: it is rejected.
+        """
+        late_by = now - drain_started_at - self.server.drain_read_s
+        if late_by > 0 and (self.pending_replies or now - self.connected_at > DRAIN_FIRST_COMMAND_TIMEOUT_S):
+            if self.awaits_body_budget:
+                self._reject_body()
+            is_discarding = isinstance(self.reader.incoming_body, DiscardedBody)
+            if not is_discarding or late_by > DRAIN_DISCARD_S:
+                self.reading_stopped = True
+                self.update_reading()
         self.flush()
 
     def _check_linger(self, now: float, write_shut_at: float) -> None:
--- a/api_gateway/downstream/client_server.py
+++ b/api_gateway/downstream/client_server.py
@@ -67,6 +67,14 @@
         """
         ...
 
+    def body_wait_limit(self, command: Any, /) -> float:
+        """Return how many seconds a command, given without its large body, may wait for that to be read."""
+        ...
+
+    def reject_command(self, pending_reply: PendingReply, command: Any, /) -> None:
+        """Answer a command, given without its large body, that has waited too long for that to be read."""
+        ...
+
     def on_client_disconnected(self, pending_reply: PendingReply, /) -> None:
         """Cancel the command, because its client has disconnected and no reply can be written."""
         ...
--- a/api_gateway/downstream/fair_queueing.py
+++ b/api_gateway/downstream/fair_queueing.py
@@ -213,7 +213,7 @@
             self.awaits_turn = False
         try:
             while self.awaits_turn and spent < max_cost and self.has_window():
-                command = self.reader.gets()
+                command = self.reader.next_command()
                 if command is INCOMPLETE:
                     self.awaits_turn = False
                     self._check_partial_command()
--- a/api_gateway/downstream/pending_reply.py
+++ b/api_gateway/downstream/pending_reply.py
@@ -6,8 +6,8 @@
 from typing import TYPE_CHECKING, Any
 
 if TYPE_CHECKING:
-    from api_gateway.downstream.body_budget import LargeBody
     from api_gateway.downstream.client_connection import ClientConnection
+    from api_gateway.downstream.large_body import LargeBody
 
 
 class PendingReply:
--- a/api_gateway/gateway/in_flight.py
+++ b/api_gateway/gateway/in_flight.py
@@ -20,6 +20,8 @@
 GUARD_MARGIN_S = 0.01
 # Total bytes of small request bodies in flight above which requests are rejected.
 MAX_SMALL_BODY_BYTES = 16 * 1024 * 1024
+# Fraction of a request's time that it may wait until its large body is read. A later rejection costs more.
+BODY_WAIT_FRACTION = 0.5
 
 FAILED_REPLY = b"-ERR failed\r\n"
 NOT_READY_REPLY = b"-ERR not ready\r\n"
@@ -34,6 +36,11 @@
     return b"$%d\r\n%s\r\n" % (len(data), data)
 
 
+def encode_error(error: BadRequestError) -> bytes:
+    """Encode the reply to an invalid command."""
+    return b"-ERR %s\r\n" % str(error).encode()
+
+
 class InFlightRequest:
     """An admitted request, its pending reply and its attempts.
 
@@ -159,11 +166,27 @@
         try:
             self.admit(pending_reply, command)
         except BadRequestError as err:
-            pending_reply.complete(b"-ERR %s\r\n" % str(err).encode())
+            pending_reply.complete(encode_error(err))
         except Exception:
             log.exception("unexpected error while handling a command")
             pending_reply.complete(FAILED_REPLY)
 
+    def body_wait_limit(self, command: object) -> float:
+        """Return how many seconds a command, given without its large body, may wait for that to be read."""
+        try:
+            return BODY_WAIT_FRACTION * self.parse(command, 0.0).time_left
+        except BadRequestError:
+            return 0.0
+
+    def reject_command(self, pending_reply: PendingReply, command: object) -> None:
+        """Answer a command, given without its large body, that has waited too long for that to be read."""
+        try:
+            self.parse(command, 0.0)
+        except BadRequestError as err:
+            pending_reply.complete(encode_error(err))
+        else:
+            pending_reply.complete(BUSY_REPLY)
+
     def on_client_disconnected(self, pending_reply: PendingReply) -> None:
         """End a request whose client has disconnected, so nothing more is forwarded for it."""
         request = pending_reply.request
@@ -182,7 +205,7 @@
             BadRequestError: The command is not a valid request, or its id is already in flight.
         """
         now = time.monotonic()
-        request = self.parse(command, now - pending_reply.connection.last_read_at)
+        request = self.parse(command, now - pending_reply.connection.send_time.earliest)
         if request.request_id in self.in_flight:
             raise BadRequestError("this id is in work")
         if self._is_full():
--- a/api_gateway/gateway/status.py
+++ b/api_gateway/gateway/status.py
@@ -21,6 +21,11 @@
         "hosts_out": sorted(node.upstream.ejected),
         "requests": len(node.in_flight),
         "clients": len(node.clients.connections),
+        "large_bodies": {
+            "reserved_bytes": node.clients.body_budget.reserved_bytes,
+            "waiting": len(node.clients.body_budget.waiting),
+            "rejected": node.clients.body_budget.rejected_count,
+        },
         "list": node.discovery.status(),
     }
     if node.config.edge:
--- a/tests/control/test_control_server.py
+++ b/tests/control/test_control_server.py
@@ -28,6 +28,7 @@
                 "hosts_out": [],
                 "requests": 0,
                 "clients": 0,
+                "large_bodies": {"reserved_bytes": 0, "waiting": 0, "rejected": 0},
             },
         )
         assert listed["version"] == 1 and listed["age"] < 20 and listed["failures"] == 0
--- a/tests/experiments/test_scale_page.py
+++ b/tests/experiments/test_scale_page.py
@@ -699,7 +699,7 @@
     "base.resp.MAX_VALUE_BYTES",
     "base.resp.MAX_COUNT_DIGITS",
     "gateway.in_flight.MAX_SMALL_BODY_BYTES",
-    "downstream.client_connection.MAX_COMMAND_BYTES",
+    "downstream.command_reader.MAX_COMMAND_BYTES",
     "upstream.connection.MAX_REPLY_BYTES",
     "control.server.MAX_CONNECTIONS",
     "control.server.MAX_CLOSING_CONNECTIONS",
--- a/tests/gateway/test_request_memory.py
+++ b/tests/gateway/test_request_memory.py
@@ -20,7 +20,7 @@
     wait_until,
 )
 
-from api_gateway.downstream.body_budget import LargeBody
+from api_gateway.downstream.large_body import LargeBody
 from api_gateway.gateway.in_flight import InFlightRequest
 from api_gateway.upstream.attempt import Attempt
 
