--- a/tests/injected/planted.py
+++ b/tests/injected/planted.py
@@ -1,12 +1,14 @@
 """Bugs that can be planted in a gateway process; the soak test must detect each of them."""
 
+import math
 import os
 import threading
 from dataclasses import replace
 
-from api_gateway.downstream import pending_reply
+from api_gateway.downstream import pending_reply, send_time
 from api_gateway.gateway import in_flight, node
 from api_gateway.policy import endpoint_selection, endpoint_table, endpoints, quota_leases, retries
+from api_gateway.upstream import connection
 
 
 def lose_replies():
@@ -81,7 +83,33 @@
     os._exit(3)
 
 
+def hold_replies_until_the_answer_ends():
+    """Answer a request with a large value only when the answer of its host has ended."""
+    connection.Connection._await_answer_end = lambda self, attempt: None
+
+
+def wait_for_memory_without_end():
+    """Let a large body wait for memory as long as it takes."""
+    in_flight.InFlightRequests.body_wait_limit = lambda self, command: math.inf
+
+
+def ignore_the_wait_for_memory():
+    """Count the time of a request from when it was read, not from when it may have been sent."""
+    send_time.SendTime.on_wait_ended = lambda self, now: setattr(self, "earliest", now)
+    in_flight.BODY_WAIT_FRACTION = 1.0
+
+
+def keep_bodies():
+    """Keep what refers to a finished request."""
+    kept = []
+    in_flight.InFlightRequest.discard_references = lambda self: kept.append(self)
+
+
 PLANTED = {
+    "held replies": hold_replies_until_the_answer_ends,
+    "endless wait": wait_for_memory_without_end,
+    "uncounted wait": ignore_the_wait_for_memory,
+    "kept bodies": keep_bodies,
     "lost": lose_replies,
     "duplicate": send_duplicates,
     "drain": ignore_draining,
