The end of a process fails a value that has not begun, and keeps its client's connection

Cause: a request whose value had begun at its host ended the client's connection even if none of the value was written; abandon_all answered the earlier requests first, so that the value began with the last of them.

Change: a reply knows whether it has begun, and an error line takes the place of one that has not; the latest requests are abandoned first.

Result: the new test in test_streamed_answers.py failed before (1 failed) and passes with the others of its file (29 passed).

--- a/api_gateway/downstream/pending_reply.py
+++ b/api_gateway/downstream/pending_reply.py
@@ -17,12 +17,14 @@
     `complete` alone, or with any number of `write_piece` calls and then `complete` with the remainder.
     """
 
-    __slots__ = ("connection", "encoded_reply", "request", "on_writable", "_large_body")
+    __slots__ = ("connection", "encoded_reply", "request", "on_writable", "is_begun", "_large_body")
 
     def __init__(self, connection: ClientConnection, large_body: LargeBody | None = None) -> None:
         """Create a reply that is not completed yet, to a command with `large_body` if it has one."""
         self.connection = connection
         self.encoded_reply: bytes | None = None
+        # For a reply written in chunks: whether the first was written.
+        self.is_begun = False
         # For a reply written in chunks: called whenever more of it may be written.
         self.on_writable: Callable[[], None] | None = None
         # State of the handler for a command that it has accepted and not answered yet. The handler clears it
@@ -47,6 +49,7 @@
 
     def write_piece(self, data: bytes) -> None:
         """Write a chunk of the reply immediately; allowed only while `is_blocked` returns False."""
+        self.is_begun = True
         self.connection.transport.write(data)
 
     def abort(self) -> None:
--- a/api_gateway/gateway/in_flight.py
+++ b/api_gateway/gateway/in_flight.py
@@ -250,15 +250,26 @@
         request.is_answered = True
         if request.guard is not None:
             request.guard.cancel()
-        if request.streaming_attempt is not None and not request.streaming_attempt.is_value_complete:
-            request.pending_reply.abort()
-        elif reply:
-            request.pending_reply.complete(reply if request.streaming_attempt is None else b"")
+        self._send_reply(request, reply)
         for attempt in list(request.attempts.values()):
             if not attempt.is_written:  # no attempt is sent after the final reply
                 self._upstream.abandon(attempt, "cancelled")
         self.remove_if_finished(request)
 
+    def _send_reply(self, request: InFlightRequest, reply: bytes) -> None:
+        """Complete the reply to a request; one that has begun and cannot be completed ends the connection."""
+        pending_reply = request.pending_reply
+        attempt = request.streaming_attempt
+        if attempt is None:
+            if reply:
+                pending_reply.complete(reply)
+        elif attempt.is_value_complete:
+            pending_reply.complete(b"")
+        elif pending_reply.is_begun:
+            pending_reply.abort()
+        elif reply:  # the value has waited for earlier replies, and none of it was written
+            pending_reply.complete(FAILED_REPLY)
+
     def reject(self, action: api.RejectRequest) -> None:
         """Answer a request with BUSY, including a retry delay if the decision engine set one."""
         request = self.in_flight.get(action.request_id)
@@ -283,8 +294,11 @@
         self._dispatcher.dispatch(api.ClientDisconnected(request.id))
 
     def abandon_all(self) -> None:
-        """Abandon all requests in flight."""
-        for request in list(self.in_flight.values()):
+        """Abandon all requests in flight, the latest first.
+
+        A large value that waits for earlier replies would begin with the last of these, and be cut off.
+        """
+        for request in reversed(list(self.in_flight.values())):
             self.abandon(request)
 
     def on_engine_failure(self, event: api.Event) -> None:
--- a/tests/gateway/test_streamed_answers.py
+++ b/tests/gateway/test_streamed_answers.py
@@ -137,3 +137,17 @@
         assert [await read_reply(reader) for _ in range(2)] == [LARGE_REPLY, SERVED]
         await wait_until(lambda: not node.node.in_flight)
         assert not node.node.engine.requests_in_flight
+
+
+# Guards against a connection that ends without its replies because a value waits behind the first of them.
+@on_loop
+async def test_a_value_that_has_not_begun_at_the_end_of_a_process_fails_alone(scratch):
+    async with EndlessAnswerHost() as host, Node(host, path=scratch) as node:
+        host.answer = None
+        host.large_answer = VALUE_PART[:50000]
+        reader, writer = await node.connect()
+        writer.write(command(b"r1") + command(b"large") + command(b"r2"))
+        await wait_until(lambda: node.node.in_flight and node.node.in_flight["large"].streaming_attempt)
+        node.node.requests.abandon_all()
+        assert [await read_reply(reader) for _ in range(3)] == [b"-ERR failed\r\n"] * 3
+        await wait_until(lambda: not node.node.in_flight)
