A plan may allow any number of open attempts

Cause: OpenAttemptLimit.excess_probability divided by the factorial of each count, and that of 171 is too large for a float (OverflowError).

Change: the terms of the Poisson distribution by recurrence.

--- a/api_gateway/policy/open_attempt_limit.py
+++ b/api_gateway/policy/open_attempt_limit.py
@@ -91,10 +91,12 @@
         rate = max(account.counter_total, account.used_units) / window_age
         requests_per_s = min(rate, plan.rate or rate) / max(state.request.units, 1e-9)
         mean_open_attempts = requests_per_s * self.endpoint_pool.mean_latency[state.service_class.name]
-        return 1 - sum(
-            mean_open_attempts**count * math.exp(-mean_open_attempts) / math.factorial(count)
-            for count in range(plan.max_concurrent)
-        )
+        probability = math.exp(-mean_open_attempts)  # of exactly `count` open attempts
+        below_limit = 0.0
+        for count in range(plan.max_concurrent):
+            below_limit += probability
+            probability *= mean_open_attempts / (count + 1)
+        return 1 - below_limit
 
     def should_call_counter(self, now: float, excess_probability: float, cost: float) -> bool:
         """Return whether to call the counter; draws a random number if the counter is usable."""
--- a/tests/policy/test_quota_leases.py
+++ b/tests/policy/test_quota_leases.py
@@ -158,6 +158,13 @@
     assert count_admitted(harness, 30) == 30
 
 
+# Guards against plans whose requests all fail because the factorial of their limit is too large for a float.
+@pytest.mark.parametrize("max_concurrent", [170, 171, 172, 1000])
+def test_a_plan_may_allow_many_open_attempts(max_concurrent):
+    harness = EngineHarness(settings(plans=[plan(rate=0.0, burst=0.0, max_concurrent=max_concurrent)]))
+    assert count_admitted(harness, 5) == 5
+
+
 def test_actual_units_are_charged():
     harness = EngineHarness(settings(reports_actual_units=True))
     _, actions = harness.request()
