--- a/tests/soak_large_values.py
+++ b/tests/soak_large_values.py
@@ -1,6 +1,6 @@
 """Soak test of large values: one real gateway, slow uploads and endless answers drawn from a seed.
 
-    python tests/soak_large_values.py [--seeds 20] [--first 1] [--planted NAME]
+    python tests/soak_large_values.py [--seeds 20] [--first 1] [--planted NAME] [--memory-mb 48]
 
 Clients write and read values of up to 4 MiB, some of them slowly or in pipelines, through a gateway with a
 memory limit of 48 MB; hosts leave some large answers without their last parts. Each violation is printed on a
@@ -125,8 +125,8 @@
 class SoakRun:
     """The gateway and the clients of one seed, and what was observed of both."""
 
-    def __init__(self, seed, plan, planted=""):
-        self.seed, self.plan, self.planted = seed, plan, planted
+    def __init__(self, seed, plan, planted="", memory_mb=MEMORY_LIMIT_MB):
+        self.seed, self.plan, self.planted, self.memory_mb = seed, plan, planted, memory_mb
         self.requests: dict[bytes, Request] = {}
         self.violations: Tally[str] = Tally()
         self.messages: list[str] = []
@@ -250,7 +250,7 @@
             hosts = [await stack.enter_async_context(ValueHost(self, self.seed + n)) for n in range(4)]
             discovery.servers = [entry(host, f"h{number}") for number, host in enumerate(hosts)]
             config = gateway_config(discovery.servers, discovery.port, counter.port, SETTINGS)
-            config["limits"] = config["limits"] | {"memory_mb": MEMORY_LIMIT_MB}
+            config["limits"] = config["limits"] | {"memory_mb": self.memory_mb}
             gateway = await stack.enter_async_context(
                 gateway_process(folder, config, {"planted": self.planted})
             )
@@ -273,8 +273,8 @@
             self.record_violation("crashed", f"the gateway ended with {gateway.process.returncode}")
         if any("Traceback" in line for line in gateway.log):
             self.record_violation("crashed", f"the gateway logged {' | '.join(gateway.log)[-400:]}")
-        if self.peak_mb > MEMORY_LIMIT_MB:
-            self.record_violation("memory", f"{self.peak_mb:.0f} MB, {MEMORY_LIMIT_MB} MB at most")
+        if self.peak_mb > self.memory_mb:
+            self.record_violation("memory", f"{self.peak_mb:.0f} MB, {self.memory_mb} MB at most")
 
     def check_reply(self, request):
         shown = f"{request.id.decode()} {request.service_class} of {request.timeout_s} s"
@@ -300,9 +300,9 @@
                 )
 
 
-async def run_seed(seed, planted=""):
+async def run_seed(seed, planted="", memory_mb=MEMORY_LIMIT_MB):
     """Run a seed, print its outcome and return the violations."""
-    soak_run = SoakRun(seed, PLANTED_PLAN if planted else draw_plan(seed), planted)
+    soak_run = SoakRun(seed, PLANTED_PLAN if planted else draw_plan(seed), planted, memory_mb)
     await soak_run.run()
     verdict = ", ".join(f"{rule} {count}" for rule, count in soak_run.violations.items()) or "passed"
     replies = Tally(request.reply_head[:1].decode() or "none" for request in soak_run.requests.values())
@@ -324,9 +324,10 @@
     parser.add_argument("--seeds", type=int, default=20)
     parser.add_argument("--first", type=int, default=1)
     parser.add_argument("--planted", default="", choices=["", *BROKEN_RULES])
+    parser.add_argument("--memory-mb", type=int, default=MEMORY_LIMIT_MB)
     args = parser.parse_args()
     seeds = range(args.first, args.first + args.seeds)
-    failed_count = sum(bool(uvloop.run(run_seed(seed, args.planted))) for seed in seeds)
+    failed_count = sum(bool(uvloop.run(run_seed(seed, args.planted, args.memory_mb))) for seed in seeds)
     print(f"{len(seeds)} seeds; {failed_count} broke a rule")
     return int(bool(failed_count))
 
--- a/tests/test_soak_large_values.py
+++ b/tests/test_soak_large_values.py
@@ -19,6 +19,11 @@
     assert not uvloop.run(with_timeout(soak_large_values.run_seed(seed)))
 
 
+# Guards against a gateway that is killed under the smallest memory limit that a deployment may set.
+def test_no_rule_is_broken_at_the_smallest_memory_limit():
+    assert not uvloop.run(with_timeout(soak_large_values.run_seed(101, memory_mb=32)))
+
+
 @pytest.mark.parametrize("planted", soak_large_values.BROKEN_RULES)
 def test_a_planted_bug_of_large_values_breaks_its_rule(planted):
     violations = uvloop.run(with_timeout(soak_large_values.run_seed(1, planted)))
