--- a/review/8/case.py
+++ b/review/8/case.py
@@ -48,7 +48,9 @@
     for reading in range(100_000):
         request_id = f"a{number:03x}{reading:012x}"
         client.received.clear()
-        await client.send(read_command(request_id, 3000, "reading", 0x1000 + number), f"API.READ {request_id}")
+        await client.send(
+            read_command(request_id, 3000, "reading", 0x1000 + number), f"API.READ {request_id}"
+        )
         while b"\r\n" not in client.received and await client.read(4096):
             pass
         await asyncio.sleep(0.02)
