--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: no disruption.
+cd "$(dirname "$0")/../.." && exec .venv/bin/python -B review/10/case.py
