--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""A gateway is told to end while a client reads a long value and sends its next request."""
+"""A gateway is told to end while a client still reads the answers to its earlier requests."""
 
 from __future__ import annotations
 
@@ -23,61 +23,98 @@
     run_case,
     served,
     settings,
+    write_command,
 )
 
-VALUE = bytes(range(256)) * 4096  # 1 MiB; a value may have 4
-VALUE_ID = "9b1f03aa5c7e2d41"
-PIECE_BYTES, PAUSE_S = 16 * 1024, 0.05  # the client reads such a piece and then rests: 320 kB a second
-SIGTERM_AT_S = 0.3  # after the request
-NEXT_AT_S = (1.0, 1.4)  # after the request, the client sends its next ones
-KILL_AFTER_S = 3.7  # SIGKILL comes no sooner after SIGTERM: the longest deadline counts as 3 s
+VALUE = b"v" * 60_000  # below 64 KiB
+REQUESTS = 200  # settlements that a client sends at once
+DEADLINE_MS = 15_000  # of the class
+PIECE_BYTES, PAUSE_S = 50_000, 0.05  # the client reads such a piece and then rests: 1 MB a second
+OTHERS, OTHERS_S = 8, 3.0  # clients with readings, one after another, and for how long before
+SIGTERM_AFTER_S = 1.0  # after the settlements
 
 
 async def answer(host: Host, words: Words, writer: asyncio.StreamWriter) -> None:
-    """Answer one request with the long value, and all others with a short one."""
-    await asyncio.sleep(0.1)
-    writer.write(served(VALUE if words[2] == VALUE_ID.encode() else b"value"))
+    """Answer after some work."""
+    await asyncio.sleep(0.02)
+    writer.write(served(VALUE if words[0] == b"API.WRITE" else b"value"))
     await writer.drain()
-    host.record(f"host {host.name} has given the whole answer for {words[2].decode()}")
 
 
-async def read_slowly(client: Client, expected_bytes: int) -> None:
-    """Read piece by piece until the long answer is whole or the connection ends."""
-    while len(client.received) < expected_bytes and await client.read(PIECE_BYTES):
+async def send_readings(record: Record, port: int, number: int) -> None:
+    """Send one reading after another on a connection, as ordinary clients do."""
+    client = Client(record, f"other {number}", port)
+    await client.connect()
+    for reading in range(100_000):
+        request_id = f"a{number:03x}{reading:012x}"
+        client.received.clear()
+        await client.send(
+            read_command(request_id, 3000, "reading", 0x1000 + number), f"API.READ {request_id}"
+        )
+        while b"\r\n" not in client.received and await client.read(4096):
+            pass
+        await asyncio.sleep(0.02)
+
+
+def count_answers(data: bytes) -> tuple[int, int]:
+    """Return how many whole answers the bytes hold that served a request, and how many others."""
+    served_count = other_count = offset = 0
+    while (end := data.find(b"\r\n", offset)) >= 0:
+        if data[offset : offset + 1] != b"$":
+            other_count += 1
+            offset = end + 2
+            continue
+        offset = end + 2 + int(data[offset + 1 : end]) + 2
+        if offset > len(data):
+            break
+        served_count += 1
+    return served_count, other_count
+
+
+async def read_slowly(client: Client) -> None:
+    """Read piece by piece until all is answered or the connection ends."""
+    while await client.read(PIECE_BYTES):
+        if sum(count_answers(bytes(client.received))) == REQUESTS:
+            return
         await asyncio.sleep(PAUSE_S)
 
 
 async def case(record: Record, trouble: bool) -> int:
-    """Return whether the client got the whole answer to its first request."""
-    hosts = [Host("a", record, answer), Host("b", record, answer)]
+    """Return whether the client got a whole answer to each of its requests."""
+    hosts = [Host(name, record, answer) for name in "abc"]
     async with Site(record, hosts, settings()) as site:
-        client = Client(record, "slow", site.gateway.port, 64 * 1024)
+        port = site.gateway.port
+        others = [asyncio.create_task(send_readings(record, port, number)) for number in range(OTHERS)]
+        await asyncio.sleep(OTHERS_S)
+        client = Client(record, "slow", port, 64 * 1024)
         await client.connect()
-        await client.send(read_command(VALUE_ID, 6000), f"API.READ {VALUE_ID}")
-        sent_at = time.monotonic()
-        expected = b"$%d\r\n%s\r\n" % (len(VALUE), VALUE)
-        reading = asyncio.create_task(read_slowly(client, len(expected)))
-        await asyncio.sleep(SIGTERM_AT_S)
+        ids = [f"9b1f03aa5c{number:06x}" for number in range(REQUESTS)]
+        commands = b"".join(write_command(request_id, DEADLINE_MS) for request_id in ids)
+        await client.send(commands, f"API.WRITE {ids[0]} to {ids[-1]} at once")
+        started_at = time.monotonic()
+        reading = asyncio.create_task(read_slowly(client))
+        await asyncio.sleep(SIGTERM_AFTER_S)
+        for task in others:
+            task.cancel()
+        runs = sum(request_id in ids for host in hosts for request_id in host.runs)
+        record(f"the hosts have run {runs} of these")
+        sigterm_at = time.monotonic()
         if trouble:
             site.gateway.signal(signal.SIGTERM)
-        for next_at in NEXT_AT_S:
-            await asyncio.sleep(sent_at + next_at - time.monotonic())
-            record(f"client slow has {len(client.received)} of {len(expected)} bytes")
-            request_id = f"1c0ffee05c7e{int(1000 * next_at):04x}"
-            await client.send(read_command(request_id, 6000), f"API.READ {request_id} behind it")
         await reading
-        took_s = time.monotonic() - sent_at
-        got = bytes(client.received[: len(expected)])
+        code = site.gateway.process.returncode
+        ended = "runs on" if code is None else f"has ended by itself with status {code}"
+        served_count, other_count = count_answers(bytes(client.received))
         record(
-            f"client slow has {len(got)} of {len(expected)} bytes of the first answer after {took_s:.1f} s, "
-            f"{took_s - SIGTERM_AT_S:.1f} s after SIGTERM; connection: {client.end or 'open'}"
+            f"client slow got {served_count} values and {other_count} other answers to {REQUESTS} requests, "
+            f"the last byte {time.monotonic() - started_at:.1f} s after the first request "
+            f"and {time.monotonic() - sigterm_at:.1f} s after SIGTERM; connection: {client.end or 'open'}; "
+            f"the gateway {ended}"
         )
         client.close()
-        if not any(VALUE_ID in host.runs for host in hosts):
-            raise NotRunError("no host got the request")
-        if got != expected and took_s - SIGTERM_AT_S >= KILL_AFTER_S:
-            raise NotRunError("the client was still reading when SIGKILL might have come")
-        return HELD if got == expected else BROKEN
+        if not runs or time.monotonic() - started_at > DEADLINE_MS / 1000:
+            raise NotRunError("nothing has run, or the client was too slow")
+        return HELD if served_count + other_count == REQUESTS else BROKEN
 
 
 run_case(Path(__file__).resolve().parent, case)
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,12 +1,10 @@
-"""A host's connection is reset in the middle of a long value, and a settlement waits behind that."""
+"""Idle clients fill the connections while a client reads a long value and sends its next request."""
 
 from __future__ import annotations
 
 import asyncio
-import os
-import socket
-import struct
 import sys
+import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
@@ -24,68 +22,77 @@
     run_case,
     served,
     settings,
-    write_command,
 )
 
 VALUE = bytes(range(256)) * 4096  # 1 MiB; a value may have 4
-RESET_AFTER_S = 1.5  # in the middle of the value
-SETTLEMENTS = 5  # of the client, behind its statement on the connection
-TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+VALUE_ID = "9b1f03aa5c7e2d41"
+PIECE_BYTES, PAUSE_S = 16 * 1024, 0.05  # the client reads such a piece and then rests: 320 kB a second
+SOCKETS = 256  # descriptors of the gateway
+IDLE_CLIENTS = 150
+CROWD_AT_S = 0.5  # after the request, the idle clients come
+NEXT_AT_S = (1.5, 2.0)  # after the request, the client sends its next ones
 
 
 async def answer(host: Host, words: Words, writer: asyncio.StreamWriter) -> None:
-    """Answer a settlement after some work; give a statement's value in two halves, or reset in between."""
-    if words[0] == b"API.WRITE":
-        await asyncio.sleep(0.1)
-        writer.write(served(b"posted"))
-        host.record(f"host {host.name} has run and answered {words[2].decode()}")
-        return
-    text = served(VALUE)
-    writer.write(text[: len(text) // 2])
-    await asyncio.sleep(RESET_AFTER_S)
-    if TROUBLE:
-        sock = writer.get_extra_info("socket")
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-        writer.transport.abort()
-        host.record(f"the connection of host {host.name} is reset under {words[2].decode()}")
-        return
-    writer.write(text[len(text) // 2 :])
+    """Answer one request with the long value, and all others with a short one."""
+    await asyncio.sleep(0.1)
+    writer.write(served(VALUE if words[2] == VALUE_ID.encode() else b"value"))
+    await writer.drain()
+    host.record(f"host {host.name} has given the whole answer for {words[2].decode()}")
 
 
-async def read_all(client: Client, expected_bytes: int) -> None:
-    """Read until all has come or the connection ends."""
-    while len(client.received) < expected_bytes and await client.read(65536):
+async def read_slowly(client: Client, expected_bytes: int) -> None:
+    """Read piece by piece until the long answer is whole or the connection ends."""
+    while len(client.received) < expected_bytes and await client.read(PIECE_BYTES):
+        await asyncio.sleep(PAUSE_S)
+
+
+async def stay_idle(record: Record, port: int) -> None:
+    """Hold a connection without a request until it is closed."""
+    client = Client(record, "idle", port)
+    try:
+        await client.connect()
+        while await client.read(4096):
+            pass
+    except OSError:
         pass
+    finally:
+        client.close()
 
 
-async def case(record: Record, _: bool) -> int:
-    """Return whether each settlement of the client was answered."""
-    hosts = [Host(name, record, answer) for name in "abc"]
-    async with Site(record, hosts, settings()) as site:
-        client = Client(record, "front", site.gateway.port)
+async def case(record: Record, trouble: bool) -> int:
+    """Return whether the client got the whole answer to its first request."""
+    hosts = [Host("a", record, answer), Host("b", record, answer)]
+    async with Site(record, hosts, settings(), SOCKETS) as site:
+        port = site.gateway.port
+        client = Client(record, "slow", port, 64 * 1024)
         await client.connect()
-        await client.send(read_command("9b1f03aa5c7e2d41", 6000), "API.READ 9b1f03aa5c7e2d41")
-        await asyncio.sleep(0.2)
-        ids = [f"9b1f03aa5c0{number:05x}" for number in range(SETTLEMENTS)]
-        for request_id in ids:
-            await client.send(write_command(request_id, 15_000), f"API.WRITE {request_id}")
-        behind = b"$6\r\nposted\r\n"
-        expected_bytes = len(b"$%d\r\n%s\r\n" % (len(VALUE), VALUE)) + SETTLEMENTS * len(behind)
-        try:
-            async with asyncio.timeout(20):
-                await read_all(client, expected_bytes)
-        except TimeoutError:
-            record("nothing more has come for 20 s")
-        answered = client.received.count(behind)
-        runs = sum(request_id in ids for host in hosts for request_id in host.runs)
+        await client.send(read_command(VALUE_ID, 6000), f"API.READ {VALUE_ID}")
+        sent_at = time.monotonic()
+        expected = b"$%d\r\n%s\r\n" % (len(VALUE), VALUE)
+        reading = asyncio.create_task(read_slowly(client, len(expected)))
+        await asyncio.sleep(CROWD_AT_S)
+        crowd = []
+        if trouble:
+            crowd = [asyncio.create_task(stay_idle(record, port)) for _ in range(IDLE_CLIENTS)]
+            record(f"{IDLE_CLIENTS} idle clients connect")
+        for next_at in NEXT_AT_S:
+            await asyncio.sleep(sent_at + next_at - time.monotonic())
+            record(f"client slow has {len(client.received)} of {len(expected)} bytes")
+            request_id = f"1c0ffee05c7e{int(1000 * next_at):04x}"
+            await client.send(read_command(request_id, 6000), f"API.READ {request_id} behind it")
+        await reading
+        for task in crowd:
+            task.cancel()
+        got = bytes(client.received[: len(expected)])
         record(
-            f"client front has {len(client.received)} of {expected_bytes} bytes, {answered} answers to "
-            f"{SETTLEMENTS} settlements, of which {runs} have run; connection: {client.end or 'open'}"
+            f"client slow has {len(got)} of {len(expected)} bytes of the first answer after "
+            f"{time.monotonic() - sent_at:.1f} s; connection: {client.end or 'open'}"
         )
         client.close()
-        if not runs:
-            raise NotRunError("no host got a settlement")
-        return HELD if answered == SETTLEMENTS else BROKEN
+        if not any(VALUE_ID in host.runs for host in hosts):
+            raise NotRunError("no host got the request")
+        return HELD if got == expected else BROKEN
 
 
 run_case(Path(__file__).resolve().parent, case)
