--- a/review/6/case.py
+++ b/review/6/case.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import sys
+import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
@@ -23,48 +24,45 @@
     settings,
 )
 
-WORK_S = {b"c=reading": 0.025, b"c=statement": 0.055}  # of a host, by class
-COMMANDS = 600  # that a client sends at once
-READINGS = 60  # that come first among them, the others are statements
+WORK_S = 0.025  # of a host for a request
+COMMANDS = 700  # that a client sends at once
+STAYS_S = (0.2, 0.3, 0.4, 0.5)  # before it goes, each in turn
+CLIENTS, CLIENTS_S = 2, 36.0  # such clients at a time, each comes again when it has gone, and for how long
 CUSTOMERS = 8  # whose requests come on a connection in turn
-STAYS_S = (0.2, 0.25, 0.3)  # before it goes, each in turn
-LEAVERS = 80  # such clients, one after another
 REST_S = 6.0  # without any client, longer than the longest deadline
 PROBES, PROBE_INTERVAL_S = 20, 0.3  # of a sound client afterwards: over 4 s, and more than 15 requests
 
 
 async def answer(host: Host, words: Words, writer: asyncio.StreamWriter) -> None:
-    """Answer after the work of the class."""
-    await asyncio.sleep(WORK_S[words[3].split(b",")[0]])
+    """Answer after some work."""
+    await asyncio.sleep(WORK_S)
     writer.write(served(b"value"))
 
 
-async def send_much(record: Record, port: int, number: int, stays_s: float, *, goes: bool) -> None:
-    """Send many commands at once; go after a while, or stay until all are answered."""
-    client = Client(record, f"{number}", port)
-    await client.connect()
-    customer = 0x1000 + CUSTOMERS * number
-    commands = [
-        read_command(
-            f"a{number:03x}{i:012x}",
-            3000,
-            "reading" if i < READINGS else "statement",
-            customer + i % CUSTOMERS,
-        )
-        for i in range(COMMANDS)
-    ]
-    await client.send(b"".join(commands), f"{COMMANDS} commands at once")
-    if goes:
-        await asyncio.sleep(stays_s)
+async def send_much(record: Record, port: int, number: int, ends_at: float, *, goes: bool) -> None:
+    """Send many commands at once, and go or stay until all are answered; again and again."""
+    visits = 0
+    while time.monotonic() < ends_at:
+        visits += 1
+        client = Client(record, f"{number}.{visits}", port)
+        await client.connect()
+        commands = [
+            read_command(
+                f"a{number:x}{visits:04x}{i:010x}",
+                3000,
+                "reading",
+                0x10000 * number + CUSTOMERS * visits + i % CUSTOMERS,
+            )
+            for i in range(COMMANDS)
+        ]
+        await client.send(b"".join(commands), f"{COMMANDS} commands at once")
+        if goes:
+            await asyncio.sleep(STAYS_S[visits % len(STAYS_S)])
+        while not goes and client.received.count(b"value") + client.received.count(b"-") < COMMANDS:
+            if not await client.read(65536):
+                break
         client.close()
-        record(f"client {number} has closed its connection")
-        return
-    while client.received.count(b"value") + client.received.count(b"-") < COMMANDS:
-        if not await client.read(65536):
-            break
-    client.close()
-    got = client.received.count(b"value"), client.received.count(b"-BUSY"), client.received.count(b"-ERR")
-    record(f"client {number} got served, refused, failed: {got}")
+        record(f"client {client.name} has closed its connection; it has {len(client.received)} bytes")
 
 
 async def probe(record: Record, port: int, number: int) -> bytes:
@@ -88,12 +86,10 @@
     hosts = [Host(name, record, answer) for name in "abc"]
     async with Site(record, hosts, settings(group_size=3)) as site:
         port = site.gateway.port
-        clients = []
-        for number in range(LEAVERS):
-            stays_s = STAYS_S[number % len(STAYS_S)]
-            clients.append(asyncio.create_task(send_much(record, port, number, stays_s, goes=trouble)))
-            await asyncio.sleep(stays_s + 0.1)
-        await asyncio.gather(*clients)
+        ends_at = time.monotonic() + CLIENTS_S
+        await asyncio.gather(
+            *[send_much(record, port, number, ends_at, goes=trouble) for number in range(1, CLIENTS + 1)]
+        )
         record(f"nobody sends for {REST_S} s")
         await asyncio.sleep(REST_S)
         if not any(host.runs for host in hosts):
