--- a/review/9/case.py
+++ b/review/9/case.py
@@ -82,6 +82,7 @@
             request_id = f"1c0ffee05c7e{int(1000 * next_at):04x}"
             await client.send(read_command(request_id, 6000), f"API.READ {request_id} behind it")
         await reading
+        record(f"{sum(not task.done() for task in crowd)} of the idle clients still have their connection")
         for task in crowd:
             task.cancel()
         got = bytes(client.received[: len(expected)])
--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -15,6 +15,7 @@
 import sys
 import tempfile
 import time
+import traceback
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
@@ -484,13 +485,18 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def bounded() -> int:
+        task = asyncio.current_task()
+        assert task is not None
+        # So that the gateway ends with a script that is told to end.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         async with asyncio.timeout(limit_s):
             return await case(record, trouble)
 
     try:
         result = asyncio.run(bounded())
-    except (NotRunError, OSError, TimeoutError) as err:
+    except (Exception, asyncio.CancelledError, KeyboardInterrupt) as err:  # an error is no broken rule
         record(f"the case could not run: {type(err).__name__} {err}")
+        traceback.print_exc()
         result = NOT_RUN
     record({HELD: "the rule held", BROKEN: "THE RULE WAS BROKEN", NOT_RUN: "not run"}[result])
     sys.exit(result)
