Commands behind a value are not sent on before its end is known

What callers saw: a client sends a statement and, while its large value arrives, five settlements on the same connection.

Cause: only the end of the connection shows the cut of a value, but commands behind a value that an endpoint was still writing were handled and sent on.

Change: from the beginning of a value to its last byte from the endpoint the connection handles no further command, and requests of it that were not sent are held by the engine (RequestHoldChanged): no attempt, retry or hedge, and no place kept from others. A cut value ends the connection by a shutdown, so that replies before it are not lost to a reset. The wait does not count in the time of the commands behind.

--- a/api_gateway/downstream/client_connection.py
+++ b/api_gateway/downstream/client_connection.py
@@ -59,6 +59,8 @@
         self.reader = CommandReader()
         self.pending_replies: deque[PendingReply] = deque()
         self.reply_account = ReplyAccount(server.reply_budget)
+        self.value_count = 0  # pending replies whose value is in transfer
+        self.value_wait_began_at = 0.0  # when the first of these began
         self.command_count = 0  # complete commands received
         # Input that is incomplete or not handled yet.
         self.partial_command = PartialCommand(server.partial_command_budget)
@@ -193,8 +195,11 @@
         return self.can_handle_more() and self.server.turns.take_command(self)
 
     def can_handle_more(self) -> bool:
-        """Return whether another command may be in flight, and whether its reply can be kept or written."""
-        if self.pending_replies and self.server.reply_budget.is_exhausted:
+        """Return whether another command may be in flight, and whether its reply can be kept or written.
+
+        None may while a value is in transfer, because its reply would be lost if that broke off.
+        """
+        if self.value_count or self.pending_replies and self.server.reply_budget.is_exhausted:
             return False
         return not self.writing_paused and len(self.pending_replies) < MAX_PENDING_COMMANDS
 
@@ -295,6 +300,34 @@
             self.reply_account.hold(pending_reply)
         self.flush()
 
+    def on_value_began(self) -> None:
+        """Stop handling commands until the value is complete, since a part of it ends the connection."""
+        if not self.value_count:
+            self.value_wait_began_at = monotonic()
+        self.value_count += 1
+        self.update_reading()
+
+    def on_value_ended(self) -> None:
+        """Handle commands again once no value is in transfer."""
+        self.value_count -= 1
+        if not self.value_count:
+            self.send_time.on_order_wait_ended(self.value_wait_began_at, monotonic())
+            self.update_reading()
+
+    def replies_behind(self, pending_reply: PendingReply) -> list[PendingReply]:
+        """Return the pending replies that come after `pending_reply`, which is pending."""
+        replies = list(self.pending_replies)
+        return replies[replies.index(pending_reply) + 1 :]
+
+    def replies_not_behind_a_value(self) -> list[PendingReply]:
+        """Return the pending replies up to the first whose value is in transfer."""
+        replies: list[PendingReply] = []
+        for pending_reply in self.pending_replies:
+            replies.append(pending_reply)
+            if pending_reply.is_value_in_transfer:
+                break
+        return replies
+
     def write(self, data: bytes) -> None:
         """Write bytes of replies, and count those that the socket does not accept."""
         self.transport.write(data)
@@ -344,6 +377,7 @@
             or self.reading_stopped
             or self.awaits_body_budget
             or self.awaits_turn
+            or self.value_count > 0
             or self.broken
             or self.write_shut_at is not None
             or len(self.pending_replies) >= MAX_PENDING_COMMANDS
@@ -451,10 +485,24 @@
         else:
             self.transport.close()
 
+    def end_truncated(self) -> None:
+        """End the connection in the middle of a reply, once the client has what precedes it.
+
+        The other requests are abandoned, since no reply to them can be delivered.
+        """
+        self.server.ends.record(EndReason.TRUNCATED_VALUE, self)
+        self._discard_replies()
+        self.reading_stopped = True
+        self._shut_down()
+
     def _abandon_requests(self) -> None:
         """Notify the handler, for each unanswered command, that the client has disconnected."""
         if any(pending_reply.encoded_reply is None for pending_reply in self.pending_replies):
             self.server.ends.record(EndReason.CLIENT_LEFT, self)
+        self._discard_replies()
+
+    def _discard_replies(self) -> None:
+        """Discard the pending replies and read no more; the handler ends the requests without one."""
         self.closing = True
         self.broken = True
         pending = self.pending_replies
--- a/api_gateway/downstream/fair_queueing.py
+++ b/api_gateway/downstream/fair_queueing.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import logging
-import math
 from collections import deque
 from typing import Any, Protocol
 
@@ -238,11 +237,6 @@
             self.flush()
         return spent, self.awaits_turn and self.has_window()
 
-    def read_queued_commands(self) -> None:
-        """Handle all commands that were read, regardless of the window."""
-        self.window = math.inf
-        self.serve(math.inf)
-
     def eof_received(self) -> bool:
         """Handle a client that shuts its sending side.
 
--- a/api_gateway/downstream/pending_reply.py
+++ b/api_gateway/downstream/pending_reply.py
@@ -5,8 +5,6 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
-from api_gateway.downstream.connection_ends import EndReason
-
 if TYPE_CHECKING:
     from api_gateway.downstream.client_connection import ClientConnection
     from api_gateway.downstream.large_body import LargeBody
@@ -27,6 +25,7 @@
         "request",
         "on_writable",
         "is_begun",
+        "is_value_in_transfer",
         "_large_body",
     )
 
@@ -40,6 +39,8 @@
         self.is_abandoned = False
         # For a reply written in chunks: whether the first was written.
         self.is_begun = False
+        # For a reply written in chunks: whether its end is still unknown, because the endpoint writes it.
+        self.is_value_in_transfer = False
         # For a reply written in chunks: called whenever more of it may be written.
         self.on_writable: Callable[[], None] | None = None
         # State of the handler for a command that it has accepted and not answered yet. The handler clears it
@@ -57,6 +58,7 @@
         """Complete the reply, which is written as soon as all earlier replies are and the client reads."""
         if self.is_abandoned:
             return
+        self._end_transfer()
         self.encoded_reply = encoded_reply
         self.connection.on_reply_completed(self)
 
@@ -64,13 +66,29 @@
         """Return whether chunks must wait for earlier replies or until the client reads."""
         return self.connection.pending_replies[0] is not self or self.connection.writing_paused
 
+    def begin_value(self, on_writable: Callable[[], None]) -> None:
+        """Begin a reply in chunks: no further command of the connection is handled before its last one.
+
+        The replies to these commands would be lost with the connection if the endpoint broke off.
+
+        Args:
+            on_writable: See the attribute.
+        """
+        self.on_writable = on_writable
+        self.is_value_in_transfer = True
+        self.connection.on_value_began()
+
     def write_piece(self, data: bytes) -> None:
         """Write a chunk of the reply immediately; allowed only while `is_blocked` returns False."""
         self.is_begun = True
         self.connection.write(data)
 
     def abort(self) -> None:
-        """Close the connection in the middle of a reply, so that the client detects the truncation."""
-        self.connection.server.ends.record(EndReason.TRUNCATED_VALUE, self.connection)
-        self.connection.broken = True
-        self.connection.transport.close()
+        """End the connection in the middle of a reply, so that the client detects the truncation."""
+        self._end_transfer()
+        self.connection.end_truncated()
+
+    def _end_transfer(self) -> None:
+        if self.is_value_in_transfer:
+            self.is_value_in_transfer = False
+            self.connection.on_value_ended()
--- a/api_gateway/downstream/send_time.py
+++ b/api_gateway/downstream/send_time.py
@@ -35,6 +35,15 @@
         self._was_emptied = False
         self._last_read_at = now
 
+    def on_order_wait_ended(self, began_at: float, now: float) -> None:
+        """A wait for the end of an earlier reply is over; it does not count in the time of later commands.
+
+        Args:
+            began_at: When the wait began.
+            now: When it ended.
+        """
+        self.earliest = min(now, self.earliest + now - began_at)
+
     def on_large_command_ended(self) -> None:
         """The last byte of a large command was read."""
         self._required_pause_s = 0.0
--- a/api_gateway/gateway/attempt_runner.py
+++ b/api_gateway/gateway/attempt_runner.py
@@ -73,8 +73,8 @@
         request.may_have_run = request.may_have_run or result not in NEVER_RUN_RESULTS
         was_already_answered = request.is_answered
         del request.attempts[number]
-        if was_already_answered and result == "connect_failed":
-            result = "moot"  # cancelled before it was sent, so it is no evidence about the endpoint
+        if (was_already_answered or request.is_held) and result == "connect_failed":
+            result = "moot"  # not sent for a reason of its own, so it is no evidence about the endpoint
         elif not was_already_answered and self._provides_reply(request, attempt):
             self._requests.finish(request, bulk_string(attempt.value))
         self._requests.remove_if_finished(request)
@@ -100,14 +100,15 @@
     def _make_payload(self, request: InFlightRequest, time_left: float) -> bytes:
         """Return the bytes that an attempt is about to send.
 
-        There are none if its client has disconnected, or if another request with its id may have run.
+        There are none if its client has disconnected, if the request is held, or if another request with its
+        id may have run.
 
         The socket is checked here because the event loop may not have noticed the disconnect yet: it may be
         delayed by other work, or reading from that client may be paused.
         """
         if not request.is_answered:
             request.pending_reply.connection.detect_disconnect()
-        if request.is_answered or not self._requests.claim_id(request):
+        if request.is_answered or request.is_held or not self._requests.claim_id(request):
             return b""
         return request.payload(time_left)
 
@@ -130,12 +131,10 @@
         connection = attempt.connection
         if request.is_answered or request.streaming_attempt is not None or connection is None:
             return False
-        request.streaming_attempt = attempt
         pending_reply = request.pending_reply
         if request.guard is not None:
             request.guard.cancel()
         attempt.is_value_blocked = pending_reply.is_blocked
-        pending_reply.on_writable = connection.resume_value
         header = b"$%d\r\n" % length
 
         def write_chunk(data: bytes) -> None:
@@ -145,6 +144,7 @@
 
         attempt.value_sink = write_chunk
         attempt.on_value_complete = partial(self._requests.finish, request, bulk_string(attempt.value))
+        self._requests.begin_value(request, attempt, connection.resume_value)
         started = api.ResponseStarted(request.id, number, attempt.endpoint_id, attempt.response_time())
         self._dispatcher.dispatch(started)
         return attempt.result == ""
--- a/api_gateway/gateway/in_flight.py
+++ b/api_gateway/gateway/in_flight.py
@@ -10,6 +10,7 @@
 
 from api_gateway import interface as api
 from api_gateway.base.byte_budget import ByteBudget
+from api_gateway.downstream.client_connection import ClientConnection
 from api_gateway.downstream.pending_reply import PendingReply
 from api_gateway.gateway.active_config import ActiveConfig
 from api_gateway.gateway.event_dispatcher import EventDispatcher
@@ -74,6 +75,7 @@
         is_idempotent: Whether its class may run any number of times.
         has_claimed_id: Whether its id has been recorded as forwarded.
         may_have_run: Whether an attempt has ended that may have run.
+        is_held: Whether it must not be sent, because its reply comes after a value that is in transfer.
     """
 
     __slots__ = (
@@ -92,6 +94,7 @@
         "is_idempotent",
         "has_claimed_id",
         "may_have_run",
+        "is_held",
     )
 
     def __init__(
@@ -120,6 +123,7 @@
         self.is_idempotent = is_idempotent
         self.has_claimed_id = False
         self.may_have_run = False
+        self.is_held = False
 
     @property
     def body(self) -> bytearray | None:
@@ -297,6 +301,8 @@
         if request.guard is not None:
             request.guard.cancel()
         self._send_reply(request, reply)
+        if request.streaming_attempt is not None:
+            self._release_held(request.pending_reply.connection)
         for attempt in list(request.attempts.values()):
             if not attempt.is_written:  # no attempt is sent after the final reply
                 self._upstream.abandon(attempt, "cancelled")
@@ -316,6 +322,35 @@
         elif reply:  # the value has waited for earlier replies, and none of it was written
             pending_reply.complete(FAILED_REPLY)
 
+    # The order of replies behind a value
+
+    def begin_value(
+        self, request: InFlightRequest, attempt: Attempt, on_writable: Callable[[], None]
+    ) -> None:
+        """Answer a request with the value of an attempt as it arrives, and hold the requests behind it.
+
+        None of these is sent before the end of the value is known: if the endpoint breaks off, the connection
+        has to end, and the replies to them with it.
+        """
+        request.streaming_attempt = attempt
+        pending_reply = request.pending_reply
+        pending_reply.begin_value(on_writable)
+        for later_reply in pending_reply.connection.replies_behind(pending_reply):
+            later_request: InFlightRequest | None = later_reply.request
+            if later_request is not None and not later_request.is_answered and not later_request.is_held:
+                later_request.is_held = True
+                self._dispatcher.dispatch(api.RequestHoldChanged(later_request.id, held=True))
+
+    def _release_held(self, connection: ClientConnection) -> None:
+        """Release the held requests of a connection that no value precedes any more."""
+        for pending_reply in connection.replies_not_behind_a_value():
+            request: InFlightRequest | None = pending_reply.request
+            if request is not None and request.is_held and not request.is_answered:
+                request.is_held = False
+                self._dispatcher.dispatch(api.RequestHoldChanged(request.id, held=False))
+
+    # Replies that the decision engine asks for
+
     def reject(self, action: api.RejectRequest) -> None:
         """Answer a request with BUSY, including a retry delay if the decision engine set one."""
         request = self.in_flight.get(action.request_id)
--- a/api_gateway/interface/events.py
+++ b/api_gateway/interface/events.py
@@ -135,6 +135,17 @@
     elapsed: float  # seconds since the attempt was sent
 
 
+@dataclass(frozen=True, slots=True)
+class RequestHoldChanged:
+    """The reply to a request now comes after a value that an endpoint still writes, or no longer does.
+
+    If that value breaks off, no reply to the request can be delivered.
+    """
+
+    request_id: str
+    held: bool  # whether it must not be sent
+
+
 @dataclass(frozen=True, slots=True)
 class ClientDisconnected:
     """A client disconnected before it received its answer."""
@@ -204,6 +215,7 @@
     | HealthCheckEnded
     | TimerFired
     | ResponseStarted
+    | RequestHoldChanged
     | ClientDisconnected
     | PeerMessage
     | EndpointOverride
--- a/api_gateway/policy/engine.py
+++ b/api_gateway/policy/engine.py
@@ -137,6 +137,8 @@
         match event:
             case api.ResponseStarted() if event.request_id in self.requests.requests:
                 self.attempt_sender.on_response_started(self.requests.requests[event.request_id], event)
+            case api.RequestHoldChanged() if event.request_id in self.requests.requests:
+                self.load_shedder.set_held(now, self.requests.requests[event.request_id], held=event.held)
             case api.EndpointOverride():
                 self.endpoint_pool.on_override(now, event)
             case api.ClusterClockNeeded() if self.counter.is_enabled:
@@ -206,7 +208,7 @@
             service_class=service_class,
             plan=plan,
             account=account,
-            arrived_at=now,
+            waiting_since=now,
             deadline=now + event.time_left,
             priority=priority,
             priority_per_second=priority / max(self.endpoint_pool.mean_latency[service_class.name], 1e-6),
@@ -252,5 +254,5 @@
             max_wait = COUNTER_WAIT_TIMEOUTS * self.counter.timeout
         elif state.stage == "queue":
             max_wait = self.load_shedder.max_queue_time(state.service_class)
-        if is_near_deadline or now - state.arrived_at >= max_wait - TIMER_SLACK_S:
+        if is_near_deadline or now - state.waiting_since >= max_wait - TIMER_SLACK_S:
             self.requests.reject(now, state, 0.0)
--- a/api_gateway/policy/load_shedding.py
+++ b/api_gateway/policy/load_shedding.py
@@ -118,6 +118,14 @@
             self.requests.reject(now, state, 0.0)
             return
         account.ceiling_units -= units  # charged before the request is sent
+        self.queue_for_endpoint(now, state)
+
+    def queue_for_endpoint(self, now: float, state: RequestState) -> None:
+        """Queue a request, or keep it until its release if it is held, and send what can be sent."""
+        if state.is_held:
+            state.stage = "held"
+            self.requests.schedule_check(state.deadline, state)
+            return
         state.stage = "queue"
         bisect.insort(self.queue, state, key=queue_rank)
         max_queue_time = self.max_queue_time(state.service_class)
@@ -130,6 +138,23 @@
         if state.stage == "queue" and not state.is_done:
             self.requests.schedule_check(now + max_queue_time, state)
 
+    def set_held(self, now: float, state: RequestState, *, held: bool) -> None:
+        """Send no attempt of a request until its release, or release it."""
+        state.is_held = held
+        if held and state.stage == "queue":
+            self.queue.remove(state)
+            self.queue_for_endpoint(now, state)
+        elif not held and state.stage == "held":
+            self.release(now, state)
+
+    def release(self, now: float, state: RequestState) -> None:
+        """Queue a request that was held, or retry it if it has been sent before."""
+        state.waiting_since = now
+        if state.sent_count:
+            self.attempt_sender.retry_or_reject(now, state, state.result_before_hold)
+        else:
+            self.queue_for_endpoint(now, state)
+
     def send_queued(self, now: float) -> None:
         """Send queued requests, highest rank first, until no endpoint has capacity."""
         while self.queue:
--- a/api_gateway/policy/request_state.py
+++ b/api_gateway/policy/request_state.py
@@ -24,7 +24,8 @@
 # slot: a slot within its customer's limit on open attempts
 # queue: an endpoint with capacity
 # sent: an answer to one of its attempts
-Stage = Literal["units", "slot", "queue", "sent"]
+# held: the end of a value whose reply comes before its own
+Stage = Literal["units", "slot", "queue", "sent", "held"]
 
 
 @dataclass(slots=True)
@@ -46,13 +47,15 @@
     service_class: api.ServiceClass
     plan: api.Plan
     account: Account
-    arrived_at: float
+    waiting_since: float  # when it arrived or was last released
     deadline: float  # when the client gives up
     priority: float  # value of an answer in time
     priority_per_second: float  # priority per second of an endpoint's work
     health_keys: tuple[str, ...]  # levels at which an endpoint may fail it: host, class and plan
     limits: api.Limits
     stage: Stage = "units"
+    is_held: bool = False  # not to be sent; its stage becomes `held` once nothing else keeps it
+    result_before_hold: str = ""  # of its last attempt, if that ended while it was held
     is_over_quota: bool = False  # forwarded although its quota was used up
     open_attempt_epoch: int = 0  # epoch of the count with its slot, or LOCAL_SLOT_EPOCH; 0: no slot
     sent_count: int = 0  # attempts sent so far
--- a/api_gateway/policy/retries.py
+++ b/api_gateway/policy/retries.py
@@ -114,7 +114,7 @@
 
     def send_attempt(self, now: float, state: RequestState) -> bool:
         """Send one more attempt if an endpoint can take it; return whether one was sent."""
-        if state.sent_count >= state.limits.max_attempts or state.is_streaming:
+        if state.sent_count >= state.limits.max_attempts or state.is_streaming or state.is_held:
             return False
         if state.in_flight and not state.limits.can_hedge:
             return False
@@ -158,7 +158,13 @@
             self.retry_or_reject(now, state, event.result)
 
     def retry_or_reject(self, now: float, state: RequestState, result: str) -> None:
-        """Retry a request whose last attempt ended with `result`, or reject it if that is not possible."""
+        """Retry a request whose last attempt ended with `result`, or reject it if that is not possible.
+
+        A request that is held waits for its release instead.
+        """
+        if state.is_held:
+            self.keep_until_release(state, result)
+            return
         if result == "connect_failed":
             cost = CONNECT_FAILED_RETRY_COST
         else:
@@ -170,6 +176,17 @@
         else:
             self.retry_budget.spend(cost)
 
+    def keep_until_release(self, state: RequestState, result: str) -> None:
+        """Keep a request whose last attempt ended with `result` while it was held.
+
+        An attempt that was held back itself is no reason to avoid its endpoint.
+        """
+        state.stage = "held"
+        state.result_before_hold = "connect_failed" if result == "moot" else result
+        if result == "moot" and not state.possibly_executed_attempts:
+            state.tried_endpoints.clear()
+        self.requests.schedule_check(state.deadline, state)
+
     def on_response_started(self, state: RequestState, event: api.ResponseStarted) -> None:
         """Mark a request as streaming and cancel its other attempts.
 
