A connection lingers until its replies are delivered, not only written

Cause: a reply counted as delivered once it had left the gateway's buffer. The second in which a client has to close its side began while the kernel held 478,641 bytes for it (TIOCOUTQ, now in the line that tells of the end), and the abort over its unread command dropped them.

Change: one state of a connection (reply_delivery.DeliveryState) from the gateway's buffer and the kernel's counts of unsent and unacknowledged bytes. The wait for the client's close begins when all is delivered; a client that takes nothing for 60 s is ended as before.

--- a/api_gateway/downstream/client_connection.py
+++ b/api_gateway/downstream/client_connection.py
@@ -11,13 +11,20 @@
 import hiredis
 
 from api_gateway.base.resp import INCOMPLETE
-from api_gateway.downstream.client_socket import count_unread_bytes, find_disconnected, shut_down_sending
+from api_gateway.downstream.client_socket import (
+    count_unacknowledged_bytes,
+    count_unread_bytes,
+    count_unsent_bytes,
+    find_disconnected,
+    shut_down_sending,
+)
 from api_gateway.downstream.command_reader import MAX_COMMAND_BYTES, CommandReader
 from api_gateway.downstream.connection_ends import EndReason
 from api_gateway.downstream.large_body import DiscardedBody, LargeBody
 from api_gateway.downstream.partial_command import PartialCommand
 from api_gateway.downstream.pending_reply import PendingReply
 from api_gateway.downstream.reply_account import ReplyAccount
+from api_gateway.downstream.reply_delivery import DeliveryState, ReplyDelivery, UndeliveredBytes
 from api_gateway.downstream.send_time import SendTime
 
 if TYPE_CHECKING:
@@ -34,9 +41,7 @@
 COMMAND_TIMEOUT_S = 2.5
 # Seconds between two chunks of a large body.
 BODY_PROGRESS_TIMEOUT_S = 2.2
-# Seconds in which the client reads no byte of its replies, after which the connection is aborted.
-WRITE_PROGRESS_TIMEOUT_S = 60.0
-# Seconds for the client to close its side after the gateway has shut down sending.
+# Seconds for the client to close its side after the gateway has shut down sending and it has the replies.
 LINGER_TIMEOUT_S = 1.0
 # Seconds for the first command on a connection that is accepted during a drain.
 DRAIN_FIRST_COMMAND_TIMEOUT_S = 1.0
@@ -77,8 +82,7 @@
         self.body_wait_ends_at = 0.0  # while a large body awaits the budget: when its command is rejected
         self.last_command_at = now  # when the last command was complete; initially the time of connecting
         self.command_due_since: float | None = now  # start of COMMAND_TIMEOUT_S; None: between commands
-        self.write_progress_at = 0.0  # when the client last read something while writing is paused
-        self.unsent_bytes = 0  # size of the write buffer at that time
+        self.delivery = ReplyDelivery(now)
         self.write_shut_at: float | None = None  # when sending and reading ended
         # State of closing and of pauses.
         self.closing = False
@@ -141,7 +145,6 @@
     def pause_writing(self) -> None:
         """Pause reading because the client does not read its replies."""
         self.writing_paused = True
-        self.write_progress_at = monotonic()
         self.server.timed_connections[self] = None
         self.update_reading()
 
@@ -330,6 +333,7 @@
 
     def write(self, data: bytes) -> None:
         """Write bytes of replies, and count those that the socket does not accept."""
+        self.delivery.on_write(monotonic(), len(data))
         self.transport.write(data)
         self._count_unsent_bytes()
 
@@ -366,6 +370,25 @@
         """Return the number of unread bytes in the socket."""
         return count_unread_bytes(self.transport.get_extra_info("socket").fileno())
 
+    def count_undelivered_bytes(self) -> UndeliveredBytes:
+        """Return how many bytes of replies were written and have not reached the client."""
+        buffered = self.transport.get_write_buffer_size()
+        descriptor = self.transport.get_extra_info("socket").fileno()
+        if descriptor < 0:
+            return UndeliveredBytes(buffered, buffered)
+        unacknowledged = count_unacknowledged_bytes(descriptor)
+        unsent = count_unsent_bytes(descriptor) if unacknowledged else 0
+        return UndeliveredBytes(buffered + unsent, buffered + unacknowledged)
+
+    def delivery_state(self, now: float) -> DeliveryState:
+        """Return whether the client has the replies that were written, and follow their delivery if not.
+
+        Every decision to end a connection, or to count it as idle, depends on this state.
+        """
+        state = self.delivery.update(now, self.count_undelivered_bytes())
+        self.server.on_delivery_state(self, state)
+        return state
+
     def is_closed_by_half_close(self) -> bool:
         """Return whether a client that has shut its sending side counts as disconnected."""
         return True
@@ -414,9 +437,9 @@
             return True
         if self.server.drain_started_at is not None:
             self._check_drain(now, self.server.drain_started_at)
-        self._check_write_progress(now)
+        is_delivered = self._check_delivery(now)
         if self.broken or self.command_due_since is None:
-            return self.writing_paused
+            return not is_delivered
         if self.awaits_body_budget and now >= self.body_wait_ends_at:
             self._reject_body()
             return True
@@ -430,16 +453,22 @@
             self._fail(b"-ERR no whole command in time\r\n", EndReason.COMMAND_TIMEOUT)
         return True
 
-    def _check_write_progress(self, now: float) -> None:
-        """Abort if the client stops reading a reply, because it also occupies the endpoint's connection."""
-        unsent_bytes = self.transport.get_write_buffer_size() if self.writing_paused else 0
-        if not self.writing_paused or unsent_bytes != self.unsent_bytes:
-            self.write_progress_at = now
-            self.unsent_bytes = unsent_bytes
-        elif now - self.write_progress_at > WRITE_PROGRESS_TIMEOUT_S:
+    def _check_delivery(self, now: float) -> bool:
+        """Return whether the client has the replies that were written.
+
+        If it has, a connection without a request is idle again. If it takes none for too long, the connection
+        is aborted, because it may also occupy one to an endpoint.
+        """
+        state = self.delivery_state(now)
+        if state is DeliveryState.DELIVERED:
+            if not self.is_busy():
+                self.server.idle.add(self)
+            return True
+        if state is DeliveryState.GIVEN_UP:
             self.server.ends.record(EndReason.REPLIES_UNREAD, self)
             self.broken = True
             self.transport.abort()
+        return False
 
     def _check_drain(self, now: float, drain_started_at: float) -> None:
         """Stop reading late in a drain and close if nothing is pending; complete commands are served.
@@ -457,9 +486,10 @@
         self.flush()
 
     def _check_linger(self, now: float, write_shut_at: float) -> None:
-        """Abort if the client does not close its side in time, or does not read the remaining replies."""
-        unsent_bytes = self.transport.get_write_buffer_size()
-        if now - write_shut_at > (WRITE_PROGRESS_TIMEOUT_S if unsent_bytes else LINGER_TIMEOUT_S):
+        """Abort if the client has the replies and does not close its side in time, or takes none of them."""
+        if not self._check_delivery(now):
+            return
+        if now - max(write_shut_at, self.delivery.progress_at) > LINGER_TIMEOUT_S:
             self.server.ends.record(EndReason.LINGER_TIMEOUT, self)
             self.transport.abort()
 
--- a/api_gateway/downstream/client_server.py
+++ b/api_gateway/downstream/client_server.py
@@ -24,6 +24,7 @@
 from api_gateway.downstream.idle_connections import IdleConnections
 from api_gateway.downstream.listener import ClientListener
 from api_gateway.downstream.pending_reply import PendingReply
+from api_gateway.downstream.reply_delivery import DeliveryState
 from api_gateway.downstream.turns import TurnScheduler
 
 if TYPE_CHECKING:
@@ -115,6 +116,8 @@
         self.paused_connections: dict[ClientConnection, None] = {}
         self.idle = IdleConnections()
         self.lingering: OrderedDict[ClientConnection, None] = OrderedDict()  # oldest first
+        # Connections that were last seen with an undelivered reply, least recently looked at first.
+        self.undelivered: OrderedDict[ClientConnection, None] = OrderedDict()
         # Aborted connections, until the event loop reports them as closed.
         self.aborted_connections: dict[ClientConnection, None] = {}
         self.check_timer: asyncio.TimerHandle | None = None
@@ -223,6 +226,7 @@
         self.timed_connections.pop(connection, None)
         self.paused_connections.pop(connection, None)
         self.lingering.pop(connection, None)
+        self.undelivered.pop(connection, None)
         self.aborted_connections.pop(connection, None)
         self.idle.discard(connection)
 
@@ -293,6 +297,14 @@
                 return True
         return False
 
+    def on_delivery_state(self, connection: ClientConnection, state: DeliveryState) -> None:
+        """Follow the delivery of the replies of a connection until all are delivered."""
+        if state is DeliveryState.DELIVERED:
+            self.undelivered.pop(connection, None)
+        elif connection in self.connections:
+            self.undelivered[connection] = None
+            self.timed_connections[connection] = None
+
     def on_linger(self, connection: ClientConnection) -> None:
         """Record a lingering connection and abort the oldest above the limit, which a drain suspends."""
         self.lingering[connection] = None
--- a/api_gateway/downstream/client_socket.py
+++ b/api_gateway/downstream/client_socket.py
@@ -1,4 +1,4 @@
-"""Socket operations that asyncio lacks or delays: unread bytes, disconnects and shutdown of sending."""
+"""Socket operations that asyncio lacks or delays: what the kernel holds, disconnects, shutdown of sending."""
 
 from __future__ import annotations
 
@@ -13,11 +13,31 @@
 if TYPE_CHECKING:
     from api_gateway.downstream.client_connection import ClientConnection
 
+# From linux/sockios.h; Python has no name for it.
+SIOCOUTQNSD = 0x894B
+
 
 def count_unread_bytes(descriptor: int) -> int:
     """Return the number of received but unread bytes of a socket; raises OSError."""
+    return _query_count(descriptor, termios.FIONREAD)
+
+
+def count_unacknowledged_bytes(descriptor: int) -> int:
+    """Return the number of written bytes that the peer's machine has not acknowledged; raises OSError.
+
+    A shutdown of sending counts as one byte.
+    """
+    return _query_count(descriptor, termios.TIOCOUTQ)
+
+
+def count_unsent_bytes(descriptor: int) -> int:
+    """Return the number of written bytes that the peer's machine has no room for yet; raises OSError."""
+    return _query_count(descriptor, SIOCOUTQNSD)
+
+
+def _query_count(descriptor: int, request: int) -> int:
     count = array.array("i", [0])
-    fcntl.ioctl(descriptor, termios.FIONREAD, count)
+    fcntl.ioctl(descriptor, request, count)
     return count[0]
 
 
--- a/api_gateway/downstream/connection_ends.py
+++ b/api_gateway/downstream/connection_ends.py
@@ -37,12 +37,16 @@
         super().__init__(log)
 
     def record(self, reason: EndReason, connection: ClientConnection) -> None:
-        """Count an end, and log it with the number of commands read and of commands without a reply."""
+        """Count an end, and log it with the number of commands read and of those that are not answered.
+
+        `undelivered` are the bytes of replies that the client's machine has not acknowledged.
+        """
         self.write(
             reason,
-            "client connection ended reason=%s client=%s commands=%d unanswered=%d",
+            "client connection ended reason=%s client=%s commands=%d unanswered=%d undelivered=%d",
             reason,
             connection.transport.get_extra_info("peername"),
             connection.command_count,
             len(connection.pending_replies),
+            connection.count_undelivered_bytes().unacknowledged,
         )
--- a/tests/downstream/test_client_connection.py
+++ b/tests/downstream/test_client_connection.py
@@ -496,7 +496,7 @@
                 raise OSError("injected failure")
             return has_unread_bytes(client)
 
-        for name in ("has_unread_bytes", "_check_write_progress"):
+        for name in ("has_unread_bytes", "_check_delivery"):
             monkeypatch.setattr(
                 clients.ClientConnection,
                 name,
--- a/tests/downstream/test_large_values.py
+++ b/tests/downstream/test_large_values.py
@@ -18,7 +18,7 @@
 
 from api_gateway.base.resp import INCOMPLETE, MAX_VALUE_BYTES, STREAMING_THRESHOLD_BYTES, RespReader
 from api_gateway.downstream import client_connection as clients
-from api_gateway.downstream import client_server
+from api_gateway.downstream import client_server, reply_delivery
 from api_gateway.downstream.body_budget import BodyBudget
 
 BIG = bytes(range(256)) * 4096  # 1 MiB
@@ -265,7 +265,7 @@
 
 @on_loop
 async def test_a_client_that_stops_reading_is_aborted(tmp_path, monkeypatch):
-    monkeypatch.setattr(clients, "WRITE_PROGRESS_TIMEOUT_S", 0.3)
+    monkeypatch.setattr(reply_delivery, "WRITE_PROGRESS_TIMEOUT_S", 0.3)
     async with StubHost(value(BIG * 4)) as host, Node(host, path=tmp_path) as node:
         reader, writer = await node.connect()
         writer.transport.pause_reading()
--- /dev/null
+++ b/tests/gateway/test_reply_delivery.py
@@ -0,0 +1,114 @@
+"""Replies reach clients that read slowly, in spite of a shutdown, a drain, a crowd or a smaller limit."""
+
+import asyncio
+import signal
+import socket
+
+import pytest
+from gateway_process import gateway_process
+from netkit import (
+    SETTINGS,
+    StubCounter,
+    StubDiscovery,
+    StubHost,
+    call_control,
+    command,
+    entry,
+    gateway_config,
+    on_loop,
+    terms,
+    wait_until,
+)
+
+RECEIVE_BUFFER_BYTES = 32 * 1024  # of a slow client
+SMALL_VALUE = b"v" * 60_000  # passed on as one reply
+LARGE_VALUE = bytes(range(256)) * 4096  # 1 MiB, passed on in chunks
+LARGE_REPLY = b"$%d\r\n%s\r\n" % (len(LARGE_VALUE), LARGE_VALUE)
+DEADLINE_S = 0.9  # of all classes where a process ends
+TIMEOUT_MS = int(1000 * DEADLINE_S)
+
+
+def answer_of(value):
+    """Return the answer of a host with this value."""
+    return b"*3\r\n$%d\r\n%s\r\n$-1\r\n$-1\r\n" % (len(value), value)
+
+
+class SlowClient:
+    """A client whose machine has little room, and that reads only what it is told to."""
+
+    def __init__(self, port):
+        self.sock = socket.socket()
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        self.sock.setblocking(False)
+        self.port, self.received, self.end = port, bytearray(), ""
+        self.loop = asyncio.get_running_loop()
+
+    async def send(self, data):
+        """Send bytes, on a new connection the first time."""
+        if self.sock.getsockname()[1] == 0:
+            await self.loop.sock_connect(self.sock, ("127.0.0.1", self.port))
+        await self.loop.sock_sendall(self.sock, data)
+
+    async def read(self, expected_bytes, bytes_per_s, *, piece_bytes=20_000):
+        """Read so many bytes at a pace, or until the connection ends."""
+        while len(self.received) < expected_bytes:
+            try:
+                data = await self.loop.sock_recv(self.sock, piece_bytes)
+            except OSError as err:
+                self.end = type(err).__name__
+                return
+            if not data:
+                self.end = "closed"
+                return
+            self.received += data
+            await asyncio.sleep(len(data) / bytes_per_s)
+
+    def close(self):
+        self.sock.close()
+
+
+class Site:
+    """A gateway process whose SIGKILL may come soon after SIGTERM, and one host."""
+
+    def __init__(self, folder, value):
+        self.folder, self.host = folder, StubHost(answer_of(value))
+        self.counter, self.discovery = StubCounter(), StubDiscovery()
+
+    async def __aenter__(self):
+        for part in (self.host, self.counter, self.discovery):
+            await part.__aenter__()
+        self.discovery.servers = [entry(self.host, "h1")]
+        deadline = {"deadline": int(DEADLINE_S * 1e9)}
+        services = [service_class | deadline for service_class in SETTINGS["services"]]
+        config = gateway_config(
+            self.discovery.servers, self.discovery.port, self.counter.port, SETTINGS | {"services": services}
+        )
+        self.running = gateway_process(self.folder, config)
+        self.process = await self.running.__aenter__()
+        await self.process.wait_until_ready()
+        return self
+
+    async def __aexit__(self, *_):
+        await self.running.__aexit__(None, None, None)
+        for part in (self.host, self.counter, self.discovery):
+            await part.__aexit__()
+
+
+# Guards against a reset of a connection whose client still reads its reply and has sent its next command.
+@pytest.mark.parametrize("how", ["standby"])
+@on_loop
+async def test_a_drain_does_not_reset_a_connection_whose_client_still_reads(how, scratch):
+    async with Site(scratch, LARGE_VALUE) as site:
+        client = SlowClient(site.process.port)
+        await client.send(command(b"large", terms(d=TIMEOUT_MS)))
+        reading = asyncio.create_task(client.read(len(LARGE_REPLY), 320_000))
+        await wait_until(lambda: len(client.received) > 10_000)
+        if how == "SIGTERM":
+            site.process.signal(signal.SIGTERM)
+        else:
+            assert (await call_control(site.process.control_port, "POST /standby"))[0] == 200
+        await asyncio.sleep(0.8)
+        await client.send(command(b"next", terms(d=TIMEOUT_MS)))
+        await reading
+        assert bytes(client.received[: len(LARGE_REPLY)]) == LARGE_REPLY
+        client.close()
