A process that stops ends only once its replies are delivered

Cause: the end waited for requests in flight alone, and a request leaves them when its reply is complete. At the end 38 replies waited in the connection, 83,300 bytes in its buffer and 3.2 MB in the kernel.

--- a/api_gateway/downstream/client_connection.py
+++ b/api_gateway/downstream/client_connection.py
@@ -389,6 +389,12 @@
         self.server.on_delivery_state(self, state)
         return state
 
+    def is_delivering(self, now: float) -> bool:
+        """Return whether the client may still get replies, written ones or those that wait to be written."""
+        state = self.delivery_state(now)
+        has_unwritten_replies = state is DeliveryState.DELIVERED and bool(self.pending_replies)
+        return state.is_being_delivered or has_unwritten_replies
+
     def is_closed_by_half_close(self) -> bool:
         """Return whether a client that has shut its sending side counts as disconnected."""
         return True
--- a/api_gateway/downstream/client_server.py
+++ b/api_gateway/downstream/client_server.py
@@ -372,6 +372,11 @@
             self.run_isolated(connection, connection.update_reading)
             self.run_isolated(connection, connection.read_queued_commands)
 
+    def has_undelivered_replies(self) -> bool:
+        """Return whether any client is still taking replies; one that has long taken none doesn't count."""
+        now = monotonic()
+        return any(connection.is_delivering(now) for connection in self.connections)
+
     def close(self) -> None:
         """Stop the timeout checks and close all connections that are still open."""
         if self.check_timer:
--- a/api_gateway/gateway/shutdown.py
+++ b/api_gateway/gateway/shutdown.py
@@ -8,7 +8,8 @@
 3. Each connection closes once all its requests are answered. Idle connections close immediately.
 4. FINISH_PERIOD_S after the longest deadline, reading from connections stops and requests in flight fail,
    except those whose value is being passed on.
-5. These are finished for up to STREAM_PERIOD_S, unless SIGKILL comes.
+5. These are finished, and all replies delivered to their clients, for up to STREAM_PERIOD_S, unless SIGKILL
+   comes. A client that long takes none of its replies is not waited for.
 6. All connections close.
 
 If another process serves the same socket, the first two steps are skipped, because that process accepts the
@@ -36,10 +37,11 @@
 # Seconds after that delay by which all requests are answered. It is less than the 0.7 s, because the gateway
 # may be stalled for 0.15 s.
 FINISH_PERIOD_S = 0.5
-# Seconds after that in which values that have begun may still be passed on; SIGKILL may come late.
+# Seconds after that in which values that have begun may be passed on, and replies delivered; SIGKILL may come
+# late.
 STREAM_PERIOD_S = 30.0
-# Seconds for the clients to read the last bytes of these values.
-FLUSH_PERIOD_S = 1.0
+# Seconds after that for the clients to close their side.
+CLOSE_PERIOD_S = 1.0
 # Seconds between checks whether all requests and connections have ended.
 CHECK_INTERVAL_S = 0.02
 
@@ -57,7 +59,7 @@
     node.clients.begin_shutdown(give_up_at - time.monotonic())
     if not await wait_until_answered(node, give_up_at):
         await fail_remaining(node)
-        await finish_values(node)
+        await deliver_replies(node)
     await release(node)
 
 
@@ -89,14 +91,23 @@
     await asyncio.sleep(0)  # the last replies are written at the end of this event loop iteration
 
 
-async def finish_values(node: GatewayNode) -> None:
-    """Wait for the values that are being passed on, if there are any."""
-    if not node.in_flight:
+async def deliver_replies(node: GatewayNode) -> None:
+    """Wait for the values that are being passed on, and until the clients have the replies to all requests.
+
+    Until its last byte is delivered, a request is not answered; the kernel drops the rest of a reply when the
+    process closes a connection with unread bytes.
+    """
+    if not has_undelivered_replies(node):
         return
     give_up_at = time.monotonic() + STREAM_PERIOD_S
-    while node.in_flight and time.monotonic() < give_up_at:
+    while has_undelivered_replies(node) and time.monotonic() < give_up_at:
         await asyncio.sleep(CHECK_INTERVAL_S)
-    await wait_until_answered(node, time.monotonic() + FLUSH_PERIOD_S)
+    await wait_until_answered(node, time.monotonic() + CLOSE_PERIOD_S)
+
+
+def has_undelivered_replies(node: GatewayNode) -> bool:
+    """Return whether a value is being passed on, or a client is still taking replies."""
+    return bool(node.in_flight) or node.clients.has_undelivered_replies()
 
 
 async def release(node: GatewayNode) -> None:
--- a/tests/gateway/test_reply_delivery.py
+++ b/tests/gateway/test_reply_delivery.py
@@ -3,11 +3,13 @@
 import asyncio
 import signal
 import socket
+from contextlib import AsyncExitStack
 
 import pytest
 from gateway_process import gateway_process
 from netkit import (
     SETTINGS,
+    Node,
     StubCounter,
     StubDiscovery,
     StubHost,
@@ -15,11 +17,16 @@
     command,
     entry,
     gateway_config,
+    limit_client_send_buffers,
     on_loop,
     terms,
     wait_until,
+    write_command,
 )
 
+from api_gateway.downstream import reply_delivery
+from api_gateway.gateway import shutdown
+
 RECEIVE_BUFFER_BYTES = 32 * 1024  # of a slow client
 SMALL_VALUE = b"v" * 60_000  # passed on as one reply
 LARGE_VALUE = bytes(range(256)) * 4096  # 1 MiB, passed on in chunks
@@ -94,8 +101,53 @@
             await part.__aexit__()
 
 
+def end_soon(monkeypatch):
+    """Let a process end as if SIGKILL could follow SIGTERM very soon."""
+    monkeypatch.setattr(shutdown, "FINISH_PERIOD_S", 0.0)
+    monkeypatch.setattr(shutdown, "KILL_DELAY_S", 0.3)
+    monkeypatch.setattr(shutdown, "ACCEPT_PERIOD_S", 0.0)
+
+
+# Guards against a process that ends itself while it still has complete replies to requests that have run.
+@on_loop
+async def test_a_process_ends_only_once_its_replies_are_delivered(scratch, monkeypatch):
+    end_soon(monkeypatch)
+    async with AsyncExitStack() as stack:
+        hosts = [await stack.enter_async_context(StubHost(None)) for _ in range(4)]
+        node = await stack.enter_async_context(Node(*hosts, path=scratch))
+        limit_client_send_buffers(node.node)
+        client = SlowClient(node.port)
+        names = [b"w%d" % number for number in range(16)]
+        await client.send(b"".join(write_command(name) for name in names))
+        await wait_until(lambda: sum(len(host.commands) for host in hosts) == len(names))
+        for host in hosts:
+            for host_writer in host.writers:
+                host_writer.write(answer_of(SMALL_VALUE))
+        await wait_until(lambda: not node.node.in_flight)
+        ending = asyncio.create_task(node.node.stop())
+        await client.read(float("inf"), 400_000)
+        assert client.end == "closed" and client.received.count(SMALL_VALUE) == len(names)
+        client.close()
+        await ending
+
+
+# Guards against a process that waits without an end for a client that takes nothing.
+@on_loop
+async def test_a_process_ends_though_a_client_never_reads(scratch, monkeypatch):
+    end_soon(monkeypatch)
+    monkeypatch.setattr(reply_delivery, "STALL_TIMEOUT_S", 0.5)
+    async with StubHost(answer_of(SMALL_VALUE)) as host, Node(host, path=scratch) as node:
+        limit_client_send_buffers(node.node)
+        client = SlowClient(node.port)
+        await client.send(b"".join(write_command(b"w%d" % number) for number in range(16)))
+        await wait_until(lambda: host.commands and not node.node.in_flight)
+        async with asyncio.timeout(5.0):
+            await node.node.stop()
+        client.close()
+
+
 # Guards against a reset of a connection whose client still reads its reply and has sent its next command.
-@pytest.mark.parametrize("how", ["standby"])
+@pytest.mark.parametrize("how", ["SIGTERM", "standby"])
 @on_loop
 async def test_a_drain_does_not_reset_a_connection_whose_client_still_reads(how, scratch):
     async with Site(scratch, LARGE_VALUE) as site:
