A connection with an undelivered reply is not idle

What callers saw: 150 idle clients connected to a gateway of 256 descriptors while a client read an answer of 1 MiB.

Cause: a connection counted as idle as soon as its replies had left the gateway's buffer (809,199 bytes were in the kernel at the abort).

Change: eviction, the abort of a lingering connection, of one for a descriptor and under a lowered limit all ask the state of delivery. A connection is idle again once its reply is delivered.

--- a/api_gateway/downstream/client_connection.py
+++ b/api_gateway/downstream/client_connection.py
@@ -358,9 +358,13 @@
         return self._has_work() or self.transport.is_closing()
 
     def is_idle(self, since: float) -> bool:
-        """Return whether the connection has been without a request since the monotonic time `since`."""
+        """Return whether the connection has been without a request since the monotonic time `since`.
+
+        A request is open until its reply is delivered.
+        """
         is_between_commands = self.command_due_since is None
-        return not self._has_work() and is_between_commands and self.last_command_at <= since
+        has_no_request = not self._has_work() and is_between_commands and self.last_command_at <= since
+        return has_no_request and self.delivery_state(monotonic()).can_make_room
 
     def has_unread_bytes(self) -> bool:
         """Return whether bytes are unread in the socket; closing it would then reset the connection."""
--- a/api_gateway/downstream/client_server.py
+++ b/api_gateway/downstream/client_server.py
@@ -204,16 +204,17 @@
         """Register a new connection and enforce the limit.
 
         Above the limit, each new connection displaces another one: the oldest lingering connection or else an
-        idle one, which may then linger until the next connection arrives. If all are busy, the new connection
-        itself closes after its first reply. If too many of these are open, it is aborted unread.
+        idle one, which may then linger until the next connection arrives, or else one whose client takes no
+        replies. If all are busy, the new connection itself closes after its first reply. If too many of these
+        are open, it is aborted unread.
         """
         self.connections[connection] = None
         self.idle.add(connection)
-        if self.excess_connections() > 0 and self.lingering:
-            self.abort(next(iter(self.lingering)))
+        if self.excess_connections() > 0:
+            self.close_lingering()
         if self.excess_connections() <= 0:
             return
-        is_evicted = self.evict_idle(connection)
+        is_evicted = self.evict_idle(connection) or self.close_stalled()
         if self.excess_connections() > min(MAX_OVERFLOW_CONNECTIONS, 1 + self.capacity * OVERFLOW_FRACTION):
             self.ends.record(EndReason.CONNECTION_LIMIT, connection)
             self.abort(connection)
@@ -237,6 +238,8 @@
     def evict_idle(self, new_connection: ClientConnection) -> bool:
         """Close an idle connection other than `new_connection`, preferably one with nothing unread.
 
+        One with an undelivered reply is not idle until that is delivered.
+
         Returns:
             Whether there was one. A connection with unread bytes closes once these are answered.
         """
@@ -245,8 +248,8 @@
             connection = self.idle.next_to_close(max(1.0, self.capacity * FRESH_IDLE_FRACTION))
             if connection is None or connection is new_connection:
                 break
-            self.idle.discard(connection)  # added again after its next reply
-            if connection.is_busy():
+            self.idle.discard(connection)  # added again after its next reply, or once that is delivered
+            if connection.is_busy() or not self.can_make_room(connection):
                 continue
             if not self.run_isolated(connection, connection.has_unread_bytes):
                 self.run_isolated(connection, connection.close_when_done)
@@ -256,19 +259,59 @@
             self.run_isolated(with_unread_bytes, with_unread_bytes.close_when_done)
         return with_unread_bytes is not None
 
+    def can_make_room(self, connection: ClientConnection) -> bool:
+        """Return whether a connection without a request may be ended to make room for others."""
+        state = self.run_isolated(connection, partial(connection.delivery_state, monotonic()))
+        return state is not None and state.can_make_room
+
     def close_lingering(self) -> bool:
-        """Abort the oldest lingering connection to free a descriptor for a new one.
+        """Abort the oldest lingering connection that has delivered its replies, to make room for others.
 
         Other connections keep their descriptors, because they may carry requests and a new one can wait.
 
         Returns:
-            Whether there was one.
+            Whether there was one among those looked at.
         """
-        if self.lingering:
-            self.abort(next(iter(self.lingering)))
-            return True
+        for connection in list(islice(self.lingering, EVICTION_CANDIDATES)):
+            if self.can_make_room(connection):
+                self.abort(connection)
+                return True
+            if connection in self.lingering:
+                self.lingering.move_to_end(connection)  # the next call looks at others first
+        return False
+
+    def close_stalled(self, descriptor_limit: float = math.inf) -> bool:
+        """Abort a connection whose client has long taken none of its replies, to make room for others.
+
+        Args:
+            descriptor_limit: Only a connection with a descriptor below this number is aborted.
+
+        Returns:
+            Whether there was one among those looked at.
+        """
+        for connection in list(islice(self.undelivered, EVICTION_CANDIDATES)):
+            self.undelivered.move_to_end(connection)
+            if connection.transport.get_extra_info("socket").fileno() >= descriptor_limit:
+                continue
+            if connection not in self.aborted_connections and self.is_stalled(connection):
+                self.ends.record(EndReason.REPLIES_UNREAD, connection)
+                self.abort(connection)
+                return True
         return False
 
+    def is_stalled(self, connection: ClientConnection) -> bool:
+        """Return whether the client of a connection has long taken none of its replies."""
+        state = self.run_isolated(connection, partial(connection.delivery_state, monotonic()))
+        return state in (DeliveryState.STALLED, DeliveryState.GIVEN_UP)
+
+    def on_delivery_state(self, connection: ClientConnection, state: DeliveryState) -> None:
+        """Follow the delivery of the replies of a connection until all are delivered."""
+        if state is DeliveryState.DELIVERED:
+            self.undelivered.pop(connection, None)
+        elif connection in self.connections:
+            self.undelivered[connection] = None
+            self.timed_connections[connection] = None
+
     def close_fresh_idle(self, descriptor_limit: float = math.inf) -> bool:
         """Abort an idle connection with nothing unread that has sent at most one command.
 
@@ -289,29 +332,20 @@
                 return False  # the remaining ones became idle later
             if connection.transport.get_extra_info("socket").fileno() >= descriptor_limit:
                 continue
-            self.idle.discard(connection)  # added again after its next reply
-            if connection.is_busy():
+            self.idle.discard(connection)  # added again after its next reply, or once that is delivered
+            if connection.is_busy() or not self.can_make_room(connection):
                 continue
             if self.run_isolated(connection, connection.has_unread_bytes) is False:
                 self.abort(connection)
                 return True
         return False
 
-    def on_delivery_state(self, connection: ClientConnection, state: DeliveryState) -> None:
-        """Follow the delivery of the replies of a connection until all are delivered."""
-        if state is DeliveryState.DELIVERED:
-            self.undelivered.pop(connection, None)
-        elif connection in self.connections:
-            self.undelivered[connection] = None
-            self.timed_connections[connection] = None
-
     def on_linger(self, connection: ClientConnection) -> None:
-        """Record a lingering connection and abort the oldest above the limit, which a drain suspends."""
+        """Record a lingering connection and close the oldest above the limit, which a drain suspends."""
         self.lingering[connection] = None
-        if self.drain_started_at is None and len(self.lingering) > max(
-            1.0, self.capacity * LINGERING_FRACTION
-        ):
-            self.abort(next(iter(self.lingering)))
+        max_lingering = max(1.0, self.capacity * LINGERING_FRACTION)
+        if self.drain_started_at is None and len(self.lingering) > max_lingering:
+            self.close_lingering()
 
     def limit_unsent_replies(self) -> None:
         """Abort the connection with the most unsent bytes if replies take too much beyond their budget.
--- a/api_gateway/gateway/process_limits.py
+++ b/api_gateway/gateway/process_limits.py
@@ -147,6 +147,7 @@
             self._clients.close_lingering()
             or self._upstream.close_longest_idle(limit)
             or self._clients.close_fresh_idle(limit)
+            or self._clients.close_stalled(limit)
         )
 
     def shortage(self, new_config: Config) -> str:
--- a/tests/gateway/test_reply_delivery.py
+++ b/tests/gateway/test_reply_delivery.py
@@ -19,6 +19,7 @@
     gateway_config,
     limit_client_send_buffers,
     on_loop,
+    read_reply,
     terms,
     wait_until,
     write_command,
@@ -164,3 +165,95 @@
         await reading
         assert bytes(client.received[: len(LARGE_REPLY)]) == LARGE_REPLY
         client.close()
+
+
+CROWD = 40
+CAPACITY = 10
+
+
+# Guards against a crowd of idle clients that takes the place of one that still reads its reply.
+@on_loop
+async def test_a_crowd_does_not_take_the_place_of_a_client_that_still_reads(scratch):
+    async with StubHost(answer_of(LARGE_VALUE)) as host, Node(host, path=scratch) as node:
+        node.node.sibling_watch.timer.cancel()
+        node.node.clients.capacity = CAPACITY
+        client = SlowClient(node.port)
+        await client.send(command(b"large"))
+        reading = asyncio.create_task(client.read(len(LARGE_REPLY), 1_000_000))
+        await wait_until(lambda: len(client.received) > 10_000 and not node.node.in_flight)
+        crowd = [await asyncio.open_connection("127.0.0.1", node.port) for _ in range(CROWD)]
+        await client.send(command(b"next"))
+        await reading
+        assert bytes(client.received[: len(LARGE_REPLY)]) == LARGE_REPLY
+        for _, writer in crowd:
+            writer.close()
+        client.close()
+
+
+# Guards against the same where the process lacks descriptors, or an operator lowers its limit of them.
+@pytest.mark.parametrize("how", ["reclaim", "lower limit"])
+@on_loop
+async def test_a_shortage_does_not_end_a_connection_whose_client_still_reads(how, scratch):
+    async with StubHost(answer_of(LARGE_VALUE)) as host, Node(host, path=scratch) as node:
+        node.node.sibling_watch.timer.cancel()
+        client = SlowClient(node.port)
+        await client.send(command(b"large"))
+        reading = asyncio.create_task(client.read(len(LARGE_REPLY), 1_000_000))
+        await wait_until(lambda: len(client.received) > 10_000 and not node.node.in_flight)
+        (connection,) = node.node.clients.connections
+        connection.last_command_at -= 60.0  # longer ago than a connection must be idle
+        if how == "reclaim":
+            while node.node.limits.reclaim_descriptor():
+                pass
+        else:
+            node.node.clients.capacity = 0
+            node.node.clients.shrink_to_capacity()
+        await client.send(command(b"next"))
+        await reading
+        assert bytes(client.received[: len(LARGE_REPLY)]) == LARGE_REPLY
+        client.close()
+
+
+# Guards against clients that take nothing and keep the places of all others.
+@on_loop
+async def test_clients_that_never_read_make_room_once_they_have_stalled(scratch, monkeypatch):
+    monkeypatch.setattr(reply_delivery, "STALL_TIMEOUT_S", 0.5)
+    async with StubHost(answer_of(LARGE_VALUE)) as host, Node(host, path=scratch) as node:
+        node.node.sibling_watch.timer.cancel()
+        limit_client_send_buffers(node.node)
+        node.node.clients.capacity = CAPACITY
+        stalled = [SlowClient(node.port) for _ in range(CAPACITY)]
+        for number, client in enumerate(stalled):
+            await client.send(command(b"large%d" % number, terms(d="10000")))
+        await wait_until(lambda: len(node.node.clients.undelivered) == CAPACITY)
+        host.answer = answer_of(b"value")
+        async with asyncio.timeout(10.0):
+            for number in range(CAPACITY):
+                while True:
+                    reader, writer = await node.connect()
+                    writer.write(command(b"other%d" % number))
+                    try:
+                        if await read_reply(reader) == b"$5\r\nvalue\r\n":
+                            break
+                    except OSError:
+                        pass
+                    await asyncio.sleep(0.05)
+        for client in stalled:
+            client.close()
+
+
+# Guards against an idle connection that is forgotten once its reply was found undelivered.
+@on_loop
+async def test_a_connection_is_idle_again_once_its_reply_is_delivered(scratch):
+    async with StubHost(answer_of(LARGE_VALUE)) as host, Node(host, path=scratch) as node:
+        client = SlowClient(node.port)
+        await client.send(command(b"large"))
+        await wait_until(lambda: node.node.clients.connections and not node.node.in_flight and host.commands)
+        server = node.node.clients
+        (connection,) = server.connections
+        connection.last_command_at -= 60.0  # longer ago than a connection must be idle
+        assert not server.close_fresh_idle() and connection not in [*server.idle.fresh]
+        await client.read(len(LARGE_REPLY), float("inf"))
+        await wait_until(lambda: connection in [*server.idle.fresh])
+        assert connection not in server.undelivered
+        client.close()
