Each counted attempt ends exactly once, also one that is not begun

Cause: the engine counts an attempt when it decides on it, and AttemptRunner.send returned without an event where the request was answered or gone. A client that leaves had its requests ended one by one, and the place of each went to the next.

Change: AttemptNotSent takes such an attempt out of the count. A failure in sending or in answering still reports the end. All requests of a client that leaves are marked first, and none of them is begun or written any more.

--- a/api_gateway/downstream/client_connection.py
+++ b/api_gateway/downstream/client_connection.py
@@ -547,9 +547,11 @@
         self.broken = True
         pending = self.pending_replies
         self.pending_replies = deque()
+        # Ending one request frees its place at an endpoint, which must go to none of the others.
         for pending_reply in pending:
             pending_reply.is_abandoned = True
             self.reply_account.release(pending_reply)
+        for pending_reply in pending:
             if pending_reply.encoded_reply is None:
                 self.server.handler.on_client_disconnected(pending_reply)
 
--- a/api_gateway/gateway/attempt_runner.py
+++ b/api_gateway/gateway/attempt_runner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import time
 from functools import partial
 
@@ -14,6 +15,8 @@
 # Results that prove that the endpoint did not run the request.
 NEVER_RUN_RESULTS = frozenset({"connect_failed", "full", "moot"})
 
+log = logging.getLogger(__name__)
+
 
 class AttemptRunner:
     """Executes the actions that concern attempts and dispatches an event when an attempt ends.
@@ -30,13 +33,15 @@
         self._dispatcher = dispatcher
 
     def send(self, action: api.SendAttempt) -> None:
-        """Send a request to an endpoint.
+        """Send a request to an endpoint; the end of the attempt is always reported to the decision engine.
 
-        The attempt ends immediately with the result `moot` if the deadline has passed, the maximum number of
-        attempts is reached, or it would be a hedged request and hedging is not allowed.
+        It is not begun if the request has been answered or its client has disconnected. It ends immediately
+        with the result `moot` if the deadline has passed, the maximum number of attempts is reached, or it
+        would be a hedged request and hedging is not allowed.
         """
         request = self._requests.in_flight.get(action.request_id)
-        if request is None or request.is_answered:
+        if request is None or request.is_answered or request.pending_reply.is_abandoned:
+            self._dispatcher.dispatch(api.AttemptNotSent(action.request_id, action.endpoint_id))
             return
         number = request.attempt_count
         time_left = request.deadline - time.monotonic()
@@ -57,7 +62,11 @@
             action.send_within,
         )
         request.attempts[number] = attempt
-        self._upstream.send(attempt, timeout)
+        try:
+            self._upstream.send(attempt, timeout)
+        except Exception:  # the decision engine counts the attempt until it ends
+            log.exception("sending an attempt failed endpoint=%s", action.endpoint_id)
+            self._upstream.abandon(attempt, "error")
 
     def cancel(self, action: api.CancelAttempt) -> None:
         """Cancel an attempt that has not ended yet."""
@@ -73,23 +82,32 @@
         request.may_have_run = request.may_have_run or result not in NEVER_RUN_RESULTS
         was_already_answered = request.is_answered
         del request.attempts[number]
-        if (was_already_answered or request.is_held) and result == "connect_failed":
+        try:
+            result = self._conclude(request, attempt, was_already_answered=was_already_answered)
+        finally:
+            self._dispatcher.dispatch(
+                api.AttemptEnded(
+                    request.id,
+                    number,
+                    attempt.endpoint_id,
+                    result,
+                    attempt.response_time(),
+                    request.is_answered,
+                    metered_use=attempt.metered_use,
+                    load_report=attempt.load_report,
+                )
+            )
+
+    def _conclude(self, request: InFlightRequest, attempt: Attempt, *, was_already_answered: bool) -> str:
+        """Answer the client if an attempt that has ended produced the reply; return its result."""
+        result = attempt.result
+        is_not_needed = was_already_answered or request.is_held or request.pending_reply.is_abandoned
+        if is_not_needed and result == "connect_failed":
             result = "moot"  # not sent for a reason of its own, so it is no evidence about the endpoint
         elif not was_already_answered and self._provides_reply(request, attempt):
             self._requests.finish(request, bulk_string(attempt.value))
         self._requests.remove_if_finished(request)
-        self._dispatcher.dispatch(
-            api.AttemptEnded(
-                request.id,
-                number,
-                attempt.endpoint_id,
-                result,
-                attempt.response_time(),
-                request.is_answered,
-                metered_use=attempt.metered_use,
-                load_report=attempt.load_report,
-            )
-        )
+        return result
 
     @staticmethod
     def _provides_reply(request: InFlightRequest, attempt: Attempt) -> bool:
@@ -106,9 +124,12 @@
         The socket is checked here because the event loop may not have noticed the disconnect yet: it may be
         delayed by other work, or reading from that client may be paused.
         """
+        pending_reply = request.pending_reply
         if not request.is_answered:
-            request.pending_reply.connection.detect_disconnect()
-        if request.is_answered or request.is_held or not self._requests.claim_id(request):
+            pending_reply.connection.detect_disconnect()
+        if request.is_answered or pending_reply.is_abandoned or request.is_held:
+            return b""
+        if not self._requests.claim_id(request):
             return b""
         return request.payload(time_left)
 
--- a/api_gateway/interface/events.py
+++ b/api_gateway/interface/events.py
@@ -94,6 +94,17 @@
         require(self.result in ATTEMPT_RESULTS, f"unknown result {self.result!r}")
 
 
+@dataclass(frozen=True, slots=True)
+class AttemptNotSent:
+    """An attempt was not begun, because its request had been answered or its client had disconnected.
+
+    It has no number and no result; `ClientDisconnected` or `AttemptEnded` tells how its request ended.
+    """
+
+    request_id: str
+    endpoint_id: str
+
+
 @dataclass(frozen=True, slots=True)
 class CounterReply:
     """A call to the shared counter returned a total or failed."""
@@ -211,6 +222,7 @@
     EndpointList
     | Request
     | AttemptEnded
+    | AttemptNotSent
     | CounterReply
     | HealthCheckEnded
     | TimerFired
--- a/api_gateway/policy/endpoints.py
+++ b/api_gateway/policy/endpoints.py
@@ -246,6 +246,18 @@
         if endpoint is not None and endpoint.in_flight.pop(key, None) is not None:
             self.load.in_flight -= 1
 
+    def record_not_sent(self, endpoint_id: str, request_id: str) -> None:
+        """Record that the attempt of a request at an endpoint was not begun; do nothing if there is none.
+
+        A request has one attempt at an endpoint at most.
+        """
+        endpoint = self.table.endpoints.get(endpoint_id)
+        if endpoint is None:
+            return
+        for key in [key for key in endpoint.in_flight if key[0] == request_id]:
+            endpoint.send_credit += 1.0
+            self.record_end(endpoint_id, key)
+
     def on_attempt_ended(
         self,
         now: float,
--- a/api_gateway/policy/engine.py
+++ b/api_gateway/policy/engine.py
@@ -121,6 +121,8 @@
                 self.on_request(now, event)
             case api.AttemptEnded():
                 self.attempt_sender.on_attempt_ended(now, event)
+            case api.AttemptNotSent():
+                self.attempt_sender.on_attempt_not_sent(event)
             case api.CounterReply(name=name) if name == BEACON_NAME:
                 self.on_cluster_clock_reply(now, event)
             case api.CounterReply():
--- a/api_gateway/policy/retries.py
+++ b/api_gateway/policy/retries.py
@@ -157,6 +157,16 @@
         if not state.in_flight:
             self.retry_or_reject(now, state, event.result)
 
+    def on_attempt_not_sent(self, event: api.AttemptNotSent) -> None:
+        """Forget an attempt that was not begun; the end of its request is reported by another event."""
+        self.endpoint_pool.record_not_sent(event.endpoint_id, event.request_id)
+        state = self.requests.requests.get(event.request_id)
+        if state is None:
+            return
+        for number, attempt in list(state.in_flight.items()):
+            if attempt.endpoint.id == event.endpoint_id:
+                del state.in_flight[number]
+
     def retry_or_reject(self, now: float, state: RequestState, result: str) -> None:
         """Retry a request whose last attempt ended with `result`, or reject it if that is not possible.
 
