A drain reads whole requests that have just got memory from rejected ones

Cause: rejecting a large body gives its place to those behind it in the same pass; they no longer wait then, count as arriving and are no longer read.

Change: a body that has waited for memory is read for DRAIN_DISCARD_S more.

--- a/api_gateway/downstream/client_connection.py
+++ b/api_gateway/downstream/client_connection.py
@@ -45,7 +45,7 @@
 LINGER_TIMEOUT_S = 1.0
 # Seconds for the first command on a connection that is accepted during a drain.
 DRAIN_FIRST_COMMAND_TIMEOUT_S = 1.0
-# Seconds after the end of reading in a drain for the body of a rejected command to arrive.
+# Seconds after the end of reading in a drain for a body to arrive that has waited for memory, kept or not.
 DRAIN_DISCARD_S = 1.0
 
 
@@ -70,6 +70,7 @@
         # Input that is incomplete or not handled yet.
         self.partial_command = PartialCommand(server.partial_command_budget)
         self.awaits_body_budget = False
+        self.has_body_waited = False  # whether the body that is received has waited for the budget
         self.awaits_turn = False  # whether commands that were read wait for a turn of the event loop
         self.is_queued_for_turn = False
         self.turn_number = -1  # the last turn in which a command was handled
@@ -216,6 +217,7 @@
         self.partial_command.release()
         self.last_read_at = monotonic()
         if self.reading_paused:
+            self.has_body_waited = True
             self.send_time.on_wait_ended(self.last_read_at)
         self.reader.receive_body(body)
         self.read_commands()
@@ -237,6 +239,7 @@
         self.command_due_since = self.last_command_at if self.reader.has_data() else None
         body = self.reader.take_body()
         if body:
+            self.has_body_waited = False
             self.send_time.on_large_command_ended()
         large_body = body if isinstance(body, LargeBody) else None
         pending_reply = PendingReply(self, large_body)
@@ -483,14 +486,15 @@
     def _check_drain(self, now: float, drain_started_at: float) -> None:
         """Stop reading late in a drain and close if nothing is pending; complete commands are served.
 
-        A command whose body waits for the budget may be complete, too: it is rejected.
+        A command whose body waits for the budget may be complete, too: it is rejected. So may one that has
+        just got the budget of others, which were rejected: its body is read for DRAIN_DISCARD_S.
         """
         late_by = now - drain_started_at - self.server.drain_read_s
         if late_by > 0 and (self.pending_replies or now - self.connected_at > DRAIN_FIRST_COMMAND_TIMEOUT_S):
             if self.awaits_body_budget:
                 self._reject_body()
-            is_discarding = isinstance(self.reader.incoming_body, DiscardedBody)
-            if not is_discarding or late_by > DRAIN_DISCARD_S:
+            may_be_complete = bool(self.reader.incoming_body) and self.has_body_waited
+            if not may_be_complete or late_by > DRAIN_DISCARD_S:
                 self.reading_stopped = True
                 self.update_reading()
         self.flush()
--- a/tests/downstream/test_body_wait.py
+++ b/tests/downstream/test_body_wait.py
@@ -165,6 +165,31 @@
         assert not host.commands
 
 
+# Guards against whole requests that get memory from others that a drain rejects, and are then closed unread.
+@pytest.mark.parametrize("overrides", [{}, FAIR_QUEUEING], ids=["plain", "fair queueing"])
+@on_loop
+async def test_a_drain_serves_whole_requests_that_get_memory_from_rejected_ones(
+    overrides, scratch, monkeypatch
+):
+    monkeypatch.setattr(clients, "DRAIN_FIRST_COMMAND_TIMEOUT_S", 0.3)
+    async with StubHost() as host, Node(host, path=scratch, config_overrides=overrides) as node:
+        node.node.clients.drain_read_s = 0.3
+        async with FullBudget(node) as full:
+            full.budget.capacity_bytes += 4 * len(WHOLE)
+            partial = await send_whole(node, upload(b"partial", LARGE, deadline_ms=15000)[:90000])
+            await wait_until(lambda: full.budget.waiting)
+            names = [b"whole%d" % number for number in range(3)]
+            clients_behind = [
+                await send_whole(node, upload(name, WHOLE, deadline_ms=15000)) for name in names
+            ]
+            await wait_until(lambda: len(full.budget.waiting) == 1 + len(names))
+            await node.call_control("POST /standby")
+            assert [await reader.read() for reader, _ in clients_behind] == [SERVED] * len(names)
+            assert sorted(sent[2] for sent in host.commands) == names
+            assert await partial[0].read() == b""
+        await wait_until(lambda: not full.budget.reserved_bytes and not full.budget.waiting)
+
+
 # Guards against a drain that waits for the body of a rejected command that never ends.
 @on_loop
 async def test_a_drain_ends_a_rejected_body_that_does_not_arrive(scratch, monkeypatch):
