--- a/api_gateway/downstream/client_server.py
+++ b/api_gateway/downstream/client_server.py
@@ -61,6 +61,8 @@
 DRAIN_READ_S = 1.6
 # Fraction of a shorter drain after which reading ends.
 DRAIN_READ_FRACTION = 0.55
+# Of clients that have long taken none of their replies.
+STALLED_STATES = frozenset({DeliveryState.STALLED, DeliveryState.GIVEN_UP})
 
 log = logging.getLogger(__name__)
 
@@ -261,9 +263,13 @@
 
     def can_make_room(self, connection: ClientConnection) -> bool:
         """Return whether a connection without a request may be ended to make room for others."""
-        state = self.run_isolated(connection, partial(connection.delivery_state, monotonic()))
+        state = self.delivery_state_of(connection)
         return state is not None and state.can_make_room
 
+    def delivery_state_of(self, connection: ClientConnection) -> DeliveryState | None:
+        """Return how far the replies of a connection have come; None if that fails, which aborts it."""
+        return self.run_isolated(connection, partial(connection.delivery_state, monotonic()))
+
     def close_lingering(self) -> bool:
         """Abort the oldest lingering connection that has delivered its replies, to make room for others.
 
@@ -293,17 +299,13 @@
             self.undelivered.move_to_end(connection)
             if connection.transport.get_extra_info("socket").fileno() >= descriptor_limit:
                 continue
-            if connection not in self.aborted_connections and self.is_stalled(connection):
+            is_open = connection not in self.aborted_connections
+            if is_open and self.delivery_state_of(connection) in STALLED_STATES:
                 self.ends.record(EndReason.REPLIES_UNREAD, connection)
                 self.abort(connection)
                 return True
         return False
 
-    def is_stalled(self, connection: ClientConnection) -> bool:
-        """Return whether the client of a connection has long taken none of its replies."""
-        state = self.run_isolated(connection, partial(connection.delivery_state, monotonic()))
-        return state in (DeliveryState.STALLED, DeliveryState.GIVEN_UP)
-
     def on_delivery_state(self, connection: ClientConnection, state: DeliveryState) -> None:
         """Follow the delivery of the replies of a connection until all are delivered."""
         if state is DeliveryState.DELIVERED:
--- a/tests/injected/planted.py
+++ b/tests/injected/planted.py
@@ -7,7 +7,14 @@
 from dataclasses import replace
 
 from api_gateway.base import byte_budget
-from api_gateway.downstream import client_connection, pending_reply, reply_account, send_time, turns
+from api_gateway.downstream import (
+    client_connection,
+    pending_reply,
+    reply_account,
+    reply_delivery,
+    send_time,
+    turns,
+)
 from api_gateway.gateway import forwarded_ids, in_flight, node
 from api_gateway.policy import endpoint_selection, endpoint_table, endpoints, quota_leases, retries
 from api_gateway.upstream import connection
@@ -150,7 +157,30 @@
     reply_account.ReplyAccount.release = lambda self, reply: None
 
 
+def count_written_as_delivered():
+    """Take a reply for delivered once it has left the buffer of the gateway."""
+    reply_delivery.ReplyDelivery.update = lambda self, now, undelivered: (
+        reply_delivery.DeliveryState.DELIVERED
+    )
+
+
+def handle_commands_behind_values():
+    """Forward commands although a value before them may break off."""
+    client_connection.ClientConnection.on_value_began = lambda self: None
+    client_connection.ClientConnection.on_value_ended = lambda self: None
+    in_flight.InFlightRequest.is_held = property(lambda self: False, lambda self, value: None)
+
+
+def forget_attempts_that_are_not_sent():
+    """Leave attempts counted that are not begun, and begin those of clients that leave."""
+    retries.AttemptSender.on_attempt_not_sent = lambda self, event: None
+
+
 PLANTED = {
+    "early delivery": count_written_as_delivered,
+    "early idle": count_written_as_delivered,
+    "no hold": handle_commands_behind_values,
+    "lost places": forget_attempts_that_are_not_sent,
     "no turns": handle_commands_without_turns,
     "endless memory": grant_all_memory,
     "forgotten ids": forget_forwarded_ids,
