A command that is not read behind a value does not count as late

While a value is in transfer the connection is not read, and the time-outs of a command or a body that has begun ran on: a check of the time-outs between the end of the value and the next read ended the connection with -ERR no whole command in time.

Change: both times begin again at the end of the value.

--- a/api_gateway/downstream/client_connection.py
+++ b/api_gateway/downstream/client_connection.py
@@ -314,11 +314,16 @@
         self.update_reading()
 
     def on_value_ended(self) -> None:
-        """Handle commands again once no value is in transfer."""
+        """Handle commands again once no value is in transfer; a part of one that was read is not late."""
         self.value_count -= 1
-        if not self.value_count:
-            self.send_time.on_order_wait_ended(self.value_wait_began_at, monotonic())
-            self.update_reading()
+        if self.value_count:
+            return
+        now = monotonic()
+        self.send_time.on_order_wait_ended(self.value_wait_began_at, now)
+        self.last_read_at = now
+        if self.command_due_since is not None:
+            self.command_due_since = now
+        self.update_reading()
 
     def replies_behind(self, pending_reply: PendingReply) -> list[PendingReply]:
         """Return the pending replies that come after `pending_reply`, which is pending."""
--- a/tests/gateway/test_commands_behind_a_value.py
+++ b/tests/gateway/test_commands_behind_a_value.py
@@ -1,6 +1,7 @@
 """Commands behind a large value are not forwarded while the endpoint may still break that off."""
 
 import asyncio
+import time
 
 import pytest
 from netkit import (
@@ -18,6 +19,7 @@
     write_command,
 )
 
+from api_gateway.downstream import client_connection
 from api_gateway.upstream import connection as upstream_connection
 
 LARGE = bytes(range(256)) * 1024  # 256 KiB
@@ -89,6 +91,30 @@
         assert sorted(host.runs_of(WRITES)) == WRITES
 
 
+# Guards against a body that counts as stopped because it was not read while a value was in transfer.
+@on_loop
+async def test_a_body_that_was_not_read_behind_a_value_is_not_late(tmp_path, monkeypatch):
+    monkeypatch.setattr(client_connection, "BODY_PROGRESS_TIMEOUT_S", 0.3)
+    monkeypatch.setattr(client_connection, "COMMAND_TIMEOUT_S", 0.3)
+    on_value_ended = client_connection.ClientConnection.on_value_ended
+
+    def end_and_check(connection):
+        on_value_ended(connection)
+        connection.check_timeouts(time.monotonic())  # as the timer may, before the socket is read
+
+    async with HalvedValueHost() as host, Node(host, path=tmp_path) as node:
+        reader, writer = await node.connect()
+        upload = command(b"w0", terms(c="write", k="77", d="10000"), b"API.WRITE", body=LARGE)
+        writer.write(command(b"large", terms(d="10000")) + upload[:60_000])
+        await reader.readexactly(1000)
+        monkeypatch.setattr(client_connection.ClientConnection, "on_value_ended", end_and_check)
+        await asyncio.sleep(0.5)
+        writer.write(upload[60_000:])
+        host.value_writer.write(LARGE_ANSWER[HALF:])
+        await reader.readexactly(len(LARGE_REPLY) - 1000)
+        assert await read_reply(reader) == SERVED
+
+
 # Guards against a wait for a slow client, where the end of the value is known.
 @on_loop
 async def test_commands_are_forwarded_once_the_endpoint_has_written_the_value(tmp_path):
