Logs: who began the end of a connection, unanswered ids, unread and unhandled input

Change: each line tells begun_by, unread, unhandled, sending_shut and the ids; an end with unanswered requests after the shutdown is reason=request_lost, which has to stay 0; /metrics counts closes by their cause.

--- a/api_gateway/downstream/client_connection.py
+++ b/api_gateway/downstream/client_connection.py
@@ -19,7 +19,7 @@
     shut_down_sending,
 )
 from api_gateway.downstream.command_reader import MAX_COMMAND_BYTES, CommandReader
-from api_gateway.downstream.connection_ends import EndReason
+from api_gateway.downstream.connection_ends import CloseCause, EndReason
 from api_gateway.downstream.large_body import DiscardedBody, LargeBody
 from api_gateway.downstream.partial_command import PartialCommand
 from api_gateway.downstream.pending_reply import PendingReply
@@ -87,6 +87,7 @@
         self.write_shut_at: float | None = None  # when sending and reading ended
         # State of closing and of pauses.
         self.closing = False
+        self.close_cause = CloseCause.NONE
         self.broken = False
         self.writing_paused = False
         self.reading_paused = False
@@ -379,8 +380,9 @@
         return self.count_unread_bytes() > 0
 
     def count_unread_bytes(self) -> int:
-        """Return the number of unread bytes in the socket."""
-        return count_unread_bytes(self.transport.get_extra_info("socket").fileno())
+        """Return the number of unread bytes in the socket; 0 once it is closed."""
+        descriptor = self.transport.get_extra_info("socket").fileno()
+        return count_unread_bytes(descriptor) if descriptor >= 0 else 0
 
     def count_undelivered_bytes(self) -> UndeliveredBytes:
         """Return how many bytes of replies were written and have not reached the client."""
@@ -514,11 +516,18 @@
 
     # Closing
 
-    def close_when_done(self) -> None:
+    def close_when_done(self, cause: CloseCause) -> None:
         """Close once all commands are answered, including those that still arrive before that."""
-        self.closing = True
+        self._begin_close(cause)
         self.flush()
 
+    def _begin_close(self, cause: CloseCause) -> None:
+        """Note that the connection is to be closed; the first cause is the one that is reported."""
+        self.closing = True
+        if self.close_cause is CloseCause.NONE:
+            self.close_cause = cause
+            self.server.ends.begin(cause)
+
     def detect_disconnect(self) -> None:
         """Check now for a disconnect, which the event loop reports one iteration later at the earliest."""
         if self.transport.is_closing():
@@ -539,6 +548,7 @@
 
         The other requests are abandoned, since no reply to them can be delivered.
         """
+        self._begin_close(CloseCause.ERROR)
         self.server.ends.record(EndReason.TRUNCATED_VALUE, self)
         self._discard_replies()
         self.reading_stopped = True
@@ -547,9 +557,17 @@
     def _abandon_requests(self) -> None:
         """Notify the handler, for each unanswered command, that the client has disconnected."""
         if any(pending_reply.encoded_reply is None for pending_reply in self.pending_replies):
-            self.server.ends.record(EndReason.CLIENT_LEFT, self)
+            is_lost = self.write_shut_at is not None
+            self._begin_close(CloseCause.CLIENT)
+            self.server.ends.record(EndReason.REQUEST_LOST if is_lost else EndReason.CLIENT_LEFT, self)
+        self._begin_close(CloseCause.CLIENT)
         self._discard_replies()
 
+    def unanswered_request_ids(self) -> list[str]:
+        """Return the ids of the admitted requests that have no reply yet, in the order of their commands."""
+        requests = [reply.request for reply in self.pending_replies if reply.encoded_reply is None]
+        return [request.id for request in requests if request is not None]
+
     def _discard_replies(self) -> None:
         """Discard the pending replies and read no more; the handler ends the requests without one."""
         self.closing = True
@@ -566,8 +584,8 @@
 
     def _fail(self, error_reply: bytes, reason: EndReason) -> None:
         """Stop reading because the framing is lost; pending replies are sent before `error_reply`."""
+        self._begin_close(CloseCause.ERROR)
         self.server.ends.record(reason, self)
-        self.closing = True
         self.broken = True
         pending_reply = PendingReply(self)
         self.pending_replies.append(pending_reply)
@@ -589,7 +607,7 @@
         is_ending = self.transport.is_closing() or self.write_shut_at is not None
         if is_ending or not (self.broken or self.reading_stopped) and self.has_unread_bytes():
             return
-        self.closing = True
+        self._begin_close(CloseCause.DRAIN)  # unless something else has begun it
         self.write_shut_at = monotonic()
         self.server.idle.discard(self)
         self.server.timed_connections[self] = None
--- a/api_gateway/downstream/client_server.py
+++ b/api_gateway/downstream/client_server.py
@@ -20,7 +20,7 @@
 from api_gateway.downstream.body_budget import BodyBudget
 from api_gateway.downstream.client_connection import ClientConnection
 from api_gateway.downstream.client_socket import find_disconnected
-from api_gateway.downstream.connection_ends import ConnectionEnds, EndReason
+from api_gateway.downstream.connection_ends import CloseCause, ConnectionEnds, EndReason
 from api_gateway.downstream.idle_connections import IdleConnections
 from api_gateway.downstream.listener import ClientListener
 from api_gateway.downstream.pending_reply import PendingReply
@@ -221,7 +221,7 @@
             self.ends.record(EndReason.CONNECTION_LIMIT, connection)
             self.abort(connection)
         elif not is_evicted:
-            connection.close_when_done()
+            connection.close_when_done(CloseCause.CONNECTION_LIMIT)
 
     def remove_connection(self, connection: ClientConnection) -> None:
         """Remove a connection that has closed from all collections."""
@@ -254,11 +254,12 @@
             if connection.is_busy() or not self.can_make_room(connection):
                 continue
             if not self.run_isolated(connection, connection.has_unread_bytes):
-                self.run_isolated(connection, connection.close_when_done)
+                self.run_isolated(connection, partial(connection.close_when_done, CloseCause.EVICTION))
                 return True
             with_unread_bytes = with_unread_bytes or connection
         if with_unread_bytes is not None:
-            self.run_isolated(with_unread_bytes, with_unread_bytes.close_when_done)
+            close = partial(with_unread_bytes.close_when_done, CloseCause.EVICTION)
+            self.run_isolated(with_unread_bytes, close)
         return with_unread_bytes is not None
 
     def can_make_room(self, connection: ClientConnection) -> bool:
@@ -376,7 +377,7 @@
     def shrink_to_capacity(self) -> None:
         """Close idle connections above the limit after it has been lowered."""
         for connection in self.closable_connections()[: max(0, len(self.connections) - self.capacity)]:
-            connection.close_when_done()
+            connection.close_when_done(CloseCause.LOWERED_LIMIT)
 
     # Drain and shutdown
 
--- a/api_gateway/downstream/connection_ends.py
+++ b/api_gateway/downstream/connection_ends.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections import Counter
 from enum import StrEnum
 from typing import TYPE_CHECKING
 
@@ -11,9 +12,24 @@
 if TYPE_CHECKING:
     from api_gateway.downstream.client_connection import ClientConnection
 
+# Ids of unanswered requests in one line.
+MAX_LOGGED_IDS = 4
+
 log = logging.getLogger(__name__)
 
 
+class CloseCause(StrEnum):
+    """Who or what began the end of a client connection that is closed once its requests are answered."""
+
+    NONE = "none"  # nobody yet
+    CONNECTION_LIMIT = "connection_limit"  # it was accepted above the limit
+    EVICTION = "eviction"  # it was idle, and made room for another
+    LOWERED_LIMIT = "lowered_limit"
+    DRAIN = "drain"  # a standby, an upgrade or a shutdown
+    CLIENT = "client"  # the client has shut its sending side or disconnected
+    ERROR = "error"  # the gateway cannot read on or go on writing; the reason tells why
+
+
 class EndReason(StrEnum):
     """Why a client connection was ended other than after its last reply."""
 
@@ -23,6 +39,7 @@
     COMMAND_TIMEOUT = "command_timeout"
     REPLIES_UNREAD = "replies_unread"  # the client read nothing for too long
     CLIENT_LEFT = "client_left"  # with commands unanswered
+    REQUEST_LOST = "request_lost"  # the gateway had shut its sending side with commands unanswered
     LINGER_TIMEOUT = "linger_timeout"  # the client did not close its side
     CONNECTION_LIMIT = "connection_limit"
     TRUNCATED_VALUE = "truncated_value"
@@ -30,23 +47,41 @@
 
 
 class ConnectionEnds(ReasonLog[EndReason]):
-    """The ends of client connections by reason."""
+    """The ends of client connections by reason.
+
+    Attributes:
+        begun_counts: How many connections began to close since the start, by what began it.
+    """
 
     def __init__(self) -> None:
         """Start without any."""
         super().__init__(log)
+        self.begun_counts: Counter[CloseCause] = Counter()
+
+    def begin(self, cause: CloseCause) -> None:
+        """Count the beginning of the end of a connection."""
+        self.begun_counts[cause] += 1
 
     def record(self, reason: EndReason, connection: ClientConnection) -> None:
-        """Count an end, and log it with the number of commands read and of those that are not answered.
+        """Count an end, and log it with the state in which it found the connection.
 
-        `undelivered` are the bytes of replies that the client's machine has not acknowledged.
+        `unanswered` are commands without a reply, with the ids of the admitted ones in `requests`.
+        `undelivered` are bytes of replies that the client's machine has not acknowledged, where a shutdown of
+        sending counts as one; `unread` are bytes in the socket. `unhandled` tells whether part of a command
+        was read.
         """
         self.write(
             reason,
-            "client connection ended reason=%s client=%s commands=%d unanswered=%d undelivered=%d",
+            "client connection ended reason=%s begun_by=%s client=%s commands=%d unanswered=%d undelivered=%d"
+            " unread=%d unhandled=%s sending_shut=%s requests=%s",
             reason,
+            connection.close_cause,
             connection.transport.get_extra_info("peername"),
             connection.command_count,
             len(connection.pending_replies),
             connection.count_undelivered_bytes().unacknowledged,
+            connection.count_unread_bytes(),
+            "yes" if connection.reader.has_data() else "no",
+            "no" if connection.write_shut_at is None else "yes",
+            ",".join(connection.unanswered_request_ids()[:MAX_LOGGED_IDS]) or "none",
         )
--- a/api_gateway/downstream/fair_queueing.py
+++ b/api_gateway/downstream/fair_queueing.py
@@ -16,7 +16,7 @@
 from api_gateway.base.resp import INCOMPLETE, STREAMING_THRESHOLD_BYTES
 from api_gateway.downstream.client_connection import MAX_PENDING_COMMANDS, ClientConnection
 from api_gateway.downstream.client_server import ClientServer
-from api_gateway.downstream.connection_ends import EndReason
+from api_gateway.downstream.connection_ends import CloseCause, EndReason
 
 # Cost that a connection or source of weight 1 may spend per round; a short command costs 1.
 QUANTUM = 4.0
@@ -246,7 +246,7 @@
         """
         if not self.scheduler.half_closed or not (self.pending_replies or self.awaits_turn):
             return super().eof_received()
-        self.close_when_done()
+        self.close_when_done(CloseCause.CLIENT)
         return True
 
     def is_closed_by_half_close(self) -> bool:
--- a/api_gateway/gateway/status.py
+++ b/api_gateway/gateway/status.py
@@ -56,6 +56,7 @@
             "customers": len(node.engine.accounts),
         },
         "connections_ended": dict(node.clients.ends.counts),
+        "closes_begun": dict(node.clients.ends.begun_counts),
         "requests_rejected": dict(node.requests.rejections.counts),
     }
 
--- a/tests/control/test_control_server.py
+++ b/tests/control/test_control_server.py
@@ -78,6 +78,7 @@
         assert metrics["memory"]["limit_bytes"] == 192 * 2**20
         assert metrics["objects"]["customers"] == 1
         assert metrics["connections_ended"] == {"protocol_error": 1}
+        assert metrics["closes_begun"]["error"] == 1
         assert metrics["requests_rejected"] == {}
 
 
--- a/tests/downstream/test_client_connection.py
+++ b/tests/downstream/test_client_connection.py
@@ -24,6 +24,7 @@
 
 from api_gateway.downstream import client_connection as clients
 from api_gateway.downstream import client_server
+from api_gateway.downstream.connection_ends import CloseCause
 from api_gateway.gateway import shutdown
 from api_gateway.policy import load_shedding as shedding
 
@@ -333,7 +334,7 @@
         node.node.clients.capacity = 2
         lingering, idle = Peer(node.port), await node.connect()
         await wait_until(lambda: len(node.node.clients.connections) == 2)
-        next(iter(node.node.clients.connections)).close_when_done()
+        next(iter(node.node.clients.connections)).close_when_done(CloseCause.EVICTION)
         assert await node.send_command(command()) == SERVED
         idle[1].write(command(b"r2"))
         assert await read_reply(idle[0]) == SERVED
@@ -353,7 +354,7 @@
             lambda: len(connections) == 10 and all(c.is_idle(time.monotonic()) for c in connections)
         )
         for client in list(node.node.clients.connections):
-            client.close_when_done()
+            client.close_when_done(CloseCause.EVICTION)
         server = node.node.clients
         server.capacity = 10
         for client in list(server.connections)[:5]:
@@ -527,7 +528,7 @@
                 node.node.clients.set_draining(True)
             else:
                 for client in list(server.connections):
-                    client.close_when_done()
+                    client.close_when_done(CloseCause.EVICTION)
             assert sum(not c.transport.is_closing() for c in server.connections) == max_lingering
             for peer in peers:
                 assert await peer.read() == b"+PONG\r\n"
--- a/tests/downstream/test_fair_queueing.py
+++ b/tests/downstream/test_fair_queueing.py
@@ -11,6 +11,7 @@
 from api_gateway.downstream import client_connection as clients
 from api_gateway.downstream import client_server, fair_queueing
 from api_gateway.downstream.admission_settings import parse_admission_settings
+from api_gateway.downstream.connection_ends import CloseCause
 from api_gateway.downstream.fair_queueing import BATCH_COST, QUANTUM, FairQueue, SourceQueue, command_cost
 from api_gateway.downstream.rate_limits import ConnectionLimiter
 
@@ -246,7 +247,7 @@
             assert (await node.call_control(call))[0] == 200
         else:
             for client in node.node.clients.connections:
-                client.close_when_done()
+                client.close_when_done(CloseCause.EVICTION)
         replies = [await read_reply(reader) for _ in range(command_count)]
         # One host may lack the capacity for all of them; each command has a complete reply.
         assert SERVED in replies and set(replies) <= {SERVED, b"-BUSY\r\n"}
