A grown parser buffer is released only between values, not within an array

What callers saw: a command with a field over 16 KiB, whose next element came in a later read, got an error, and its rest was read as other commands. Cause: release_buffer asked the parser for unconsumed bytes; the parser has consumed the complete elements of an incomplete array, and was replaced with them. Change: RespReader.has_begun_value counts the elements that are due, too.

--- a/api_gateway/base/resp.py
+++ b/api_gateway/base/resp.py
@@ -152,7 +152,7 @@
 
     def release_buffer(self) -> None:
         """Replace a parser whose buffer has grown, unless it holds input; it would keep its size."""
-        if self.has_large_buffer and not self.broken and not self.reader.has_data():
+        if self.has_large_buffer and not self.broken and not self.has_begun_value():
             self.has_large_buffer = False
             self.reader = hiredis.Reader(notEnoughData=INCOMPLETE)
             self.gets = self.reader.gets
@@ -172,7 +172,7 @@
         )
 
     def has_data(self) -> bool:
-        """Return whether a value has begun and is incomplete, or the stream is malformed."""
+        """Return whether bytes wait that no value has consumed, or the stream is malformed."""
         return (
             self.broken
             or bool(self.partial_line)
@@ -182,6 +182,10 @@
             or self.reader.has_data()
         )
 
+    def has_begun_value(self) -> bool:
+        """Return whether a value has begun, also if the parser has consumed all of its bytes so far."""
+        return self.has_data() or self.parts_due > 0
+
     def _resume(self, data: bytes) -> bytes:
         """Pass on the bytes of the large string. Return the other bytes, after an incomplete line."""
         if self.large_bytes_left:
--- a/tests/base/test_resp.py
+++ b/tests/base/test_resp.py
@@ -105,3 +105,23 @@
         assert CRLF not in chunks
     reader.feed(CRLF)
     assert b"".join(chunks) == body + CRLF and chunks[-1] == CRLF and reader.gets() == [b""]
+
+
+# Guards against a parser that is replaced after a long element, when the rest of its array has not begun.
+@pytest.mark.parametrize("size", [100, 8192, 20_000, 60_000])
+@pytest.mark.parametrize("nested", [False, True])
+def test_an_incomplete_array_survives_the_release_of_a_grown_buffer(size, nested):
+    reader = RespReader(100_000)
+    text = b"$%d\r\n%s\r\n" % (size, b"x" * size)
+    first = b"*3\r\n" + (b"*1\r\n" if nested else b"") + text
+    for start in range(0, len(first), 4096):
+        reader.feed(first[start : start + 4096])
+        assert reader.gets() is INCOMPLETE
+        reader.release_buffer()
+        assert reader.has_begun_value()
+    reader.feed(b"$1\r\na\r\n")
+    assert reader.gets() is INCOMPLETE and reader.has_begun_value()
+    reader.feed(b"$1\r\nb\r\n")
+    long_part = b"x" * size
+    assert reader.gets() == [[long_part] if nested else long_part, b"a", b"b"]
+    assert not reader.has_begun_value()
