Test of values that break off: the host ends the connection that it wrote the value to

Cause: traced: the stand-in ended the connection that was opened last, which with two requests in one burst may be the other one; the gateway then rightly waited for the rest of the value. Change: the stand-in keeps the writer of each connection. The checks are the same.

--- a/tests/gateway/test_commands_behind_a_value.py
+++ b/tests/gateway/test_commands_behind_a_value.py
@@ -35,14 +35,15 @@
     def __init__(self):
         super().__init__()
         self.value_writer = None
+        self.writers_by_task = {}  # each connection is served by a task of its own
 
     async def serve(self, reader, writer):
-        self.last_writer = writer
+        self.writers_by_task[asyncio.current_task()] = writer
         await super().serve(reader, writer)
 
     async def answer_to(self, received):
         if received[2].startswith(b"large"):
-            self.value_writer = self.last_writer
+            self.value_writer = self.writers_by_task[asyncio.current_task()]
             return LARGE_ANSWER[:HALF]
         return VALUE
 
