One state of a client connection decides what is handled and when sending is shut

Cause: after the first reply the kernel was asked for unread bytes and the reader was not; sending was shut and the loop then handled the second command. Change: downstream/connection_state.py, without I/O: phases, input, events, one table of transitions. It replaces the flags closing, broken, write_shut_at and reading_stopped; nothing is handled outside OPEN and CLOSING, and sending stays open while commands that were read are unhandled.

--- a/api_gateway/downstream/client_connection.py
+++ b/api_gateway/downstream/client_connection.py
@@ -19,7 +19,8 @@
     shut_down_sending,
 )
 from api_gateway.downstream.command_reader import MAX_COMMAND_BYTES, CommandReader
-from api_gateway.downstream.connection_ends import CloseCause, EndReason
+from api_gateway.downstream.connection_ends import EndReason
+from api_gateway.downstream.connection_state import CloseCause, ConnectionEvent, ConnectionState
 from api_gateway.downstream.large_body import DiscardedBody, LargeBody
 from api_gateway.downstream.partial_command import PartialCommand
 from api_gateway.downstream.pending_reply import PendingReply
@@ -52,15 +53,15 @@
 class ClientConnection(asyncio.BufferedProtocol):
     """A client connection, from accept to close.
 
-    `closing` is set when the connection should close after the pending replies, `broken` when nothing more
-    may be read, and `write_shut_at` once the sending side is shut and the connection only lingers until the
-    client closes, too. The ClientServer owns the connection and enforces its timeouts.
+    Its `state` decides what may be read, handled and ended. The ClientServer owns the connection and enforces
+    its timeouts.
     """
 
     def __init__(self, server: ClientServer) -> None:
         """Create the protocol of a connection that is being accepted by `server`."""
         self.server = server
         self.transport: asyncio.Transport
+        self.state = ConnectionState()
         self.reader = CommandReader()
         self.pending_replies: deque[PendingReply] = deque()
         self.reply_account = ReplyAccount(server.reply_budget)
@@ -84,14 +85,9 @@
         self.last_command_at = now  # when the last command was complete; initially the time of connecting
         self.command_due_since: float | None = now  # start of COMMAND_TIMEOUT_S; None: between commands
         self.delivery = ReplyDelivery(now)
-        self.write_shut_at: float | None = None  # when sending and reading ended
-        # State of closing and of pauses.
-        self.closing = False
-        self.close_cause = CloseCause.NONE
-        self.broken = False
+        self.sending_shut_at = 0.0  # once it is shut
         self.writing_paused = False
         self.reading_paused = False
-        self.reading_stopped = False  # whether a drain has ended reading until the drain is over
         self.on_closed: Callable[[], None] | None = None
 
     # Events of the transport
@@ -134,8 +130,9 @@
 
     def data_received(self, data: bytes) -> None:
         """Read the commands that `data` completes."""
-        if self.broken:
+        if not self.state.may_handle:
             return
+        self.state.on_bytes_read()
         self.reader.feed(data)
         self.last_read_at = monotonic()
         self.send_time.on_read(self.last_read_at, self.count_unread_bytes)
@@ -164,13 +161,14 @@
         if not self.awaits_turn:
             self._handle_commands()
         self.update_reading()
+        self._shut_sending_if_done()
 
     def take_turn(self) -> None:
         """Handle commands that have waited for a turn, unless the client has disconnected meanwhile."""
         self.is_queued_for_turn = False
         self.awaits_turn = False
         self.detect_disconnect()
-        if self.broken or self.transport.is_closing():
+        if not self.state.may_handle or self.transport.is_closing():
             return
         self._handle_commands()
         self.update_reading()
@@ -179,23 +177,31 @@
 
     def read_queued_commands(self) -> None:
         """Handle all commands that were read, at once."""
-        while self.awaits_turn and not self.broken:
+        while self.awaits_turn and self.state.may_handle:
             self.awaits_turn = False
             self._handle_commands(is_bounded=False)
+        self._shut_sending_if_done()
 
     def _handle_commands(self, is_bounded: bool = True) -> None:
         try:
-            while not is_bounded or self._may_handle_command():
+            while self.state.may_handle:
+                if is_bounded and not self._may_handle_command():
+                    self.awaits_turn = True
+                    return
                 command = self.reader.next_command()
                 if command is INCOMPLETE:
-                    self.reader.release_buffer()
-                    self._check_partial_command()
+                    self._on_commands_handled()
                     return
                 self._handle_command(command)
-            self.awaits_turn = True
         except hiredis.ProtocolError:
             self._fail(b"-ERR protocol error\r\n", EndReason.PROTOCOL_ERROR)
 
+    def _on_commands_handled(self) -> None:
+        """Record that no whole command is left in the reader, and check what it holds of the next one."""
+        self.state.on_commands_handled(is_partial=self.reader.has_begun_value())
+        self.reader.release_buffer()
+        self._check_partial_command()
+
     def _may_handle_command(self) -> bool:
         return self.can_handle_more() and self.server.turns.take_command(self)
 
@@ -210,6 +216,7 @@
 
     def on_body_reserved(self, length: int) -> None:
         """Start receiving a large body, for which the budget has reserved `length` bytes."""
+        self.state.on_command()
         self._receive_body(LargeBody(length, self.server.body_budget))
 
     def _receive_body(self, body: LargeBody | DiscardedBody) -> None:
@@ -220,6 +227,7 @@
         if self.reading_paused:
             self.has_body_waited = True
             self.send_time.on_wait_ended(self.last_read_at)
+        self.state.on_bytes_read()  # the whole body may have waited in the reader
         self.reader.receive_body(body)
         self.read_commands()
 
@@ -234,6 +242,7 @@
 
     def _handle_command(self, command: Any) -> None:
         """Pass a complete command, a RESP value of any shape, to the handler."""
+        self.state.on_command()
         self.partial_command.release()
         self.last_command_at = monotonic()
         self.command_count += 1
@@ -280,11 +289,10 @@
             self.write(encoded_replies)
         if pending and (on_writable := pending[0].on_writable) is not None and not self.writing_paused:
             on_writable()
-        if not pending and not self.awaits_turn and (self.closing or self._must_close_for_drain()):
-            self._shut_down()
-        elif self.reading_paused:
+        self._shut_sending_if_done()
+        if self.reading_paused:
             self.update_reading()
-        if not pending and not self.closing:
+        if not pending and not self.state.is_closing:
             self.server.idle.add(self)
 
     def _take_writable_replies(self) -> bytes:
@@ -356,7 +364,7 @@
         """Return whether replies or input are pending, or the connection closes when they no longer are."""
         return bool(
             self.pending_replies
-            or self.closing
+            or self.state.is_closing
             or self.reader.incoming_body
             or self.awaits_body_budget
             or self.awaits_turn
@@ -417,12 +425,10 @@
         """Pause reading, for example if the client reads no replies or has too much in flight, or resume."""
         should_pause = (
             self.writing_paused
-            or self.reading_stopped
+            or not self.state.may_read
             or self.awaits_body_budget
             or self.awaits_turn
             or self.value_count > 0
-            or self.broken
-            or self.write_shut_at is not None
             or len(self.pending_replies) >= MAX_PENDING_COMMANDS
         )
         if should_pause != self.reading_paused and not self.transport.is_closing():
@@ -452,13 +458,13 @@
         Returns:
             Whether a timeout is running; if not, no further check is needed for now.
         """
-        if self.write_shut_at is not None:
-            self._check_linger(now, self.write_shut_at)
+        if self.state.is_sending_shut:
+            self._check_linger(now)
             return True
         if self.server.drain_started_at is not None:
             self._check_drain(now, self.server.drain_started_at)
         is_delivered = self._check_delivery(now)
-        if self.broken or self.command_due_since is None:
+        if not self.state.may_handle or self.command_due_since is None:
             return not is_delivered
         if self.awaits_body_budget and now >= self.body_wait_ends_at:
             self._reject_body()
@@ -486,8 +492,7 @@
             return True
         if state is DeliveryState.GIVEN_UP:
             self.server.ends.record(EndReason.REPLIES_UNREAD, self)
-            self.broken = True
-            self.transport.abort()
+            self.abort()
         return False
 
     def _check_drain(self, now: float, drain_started_at: float) -> None:
@@ -502,17 +507,17 @@
                 self._reject_body()
             may_be_complete = bool(self.reader.incoming_body) and self.has_body_waited
             if not may_be_complete or late_by > DRAIN_DISCARD_S:
-                self.reading_stopped = True
+                self.state.is_reading_stopped = True
                 self.update_reading()
         self.flush()
 
-    def _check_linger(self, now: float, write_shut_at: float) -> None:
+    def _check_linger(self, now: float) -> None:
         """Abort if the client has the replies and does not close its side in time, or takes none of them."""
         if not self._check_delivery(now):
             return
-        if now - max(write_shut_at, self.delivery.progress_at) > LINGER_TIMEOUT_S:
+        if now - max(self.sending_shut_at, self.delivery.progress_at) > LINGER_TIMEOUT_S:
             self.server.ends.record(EndReason.LINGER_TIMEOUT, self)
-            self.transport.abort()
+            self.abort()
 
     # Closing
 
@@ -523,9 +528,7 @@
 
     def _begin_close(self, cause: CloseCause) -> None:
         """Note that the connection is to be closed; the first cause is the one that is reported."""
-        self.closing = True
-        if self.close_cause is CloseCause.NONE:
-            self.close_cause = cause
+        if self.state.begin_close(cause):
             self.server.ends.begin(cause)
 
     def detect_disconnect(self) -> None:
@@ -537,8 +540,9 @@
 
     def on_peer_closed(self) -> None:
         """Close the connection after its client has disconnected while reading was paused."""
+        was_sending_shut = self.state.is_sending_shut
         self._abandon_requests()
-        if self.write_shut_at is not None:
+        if was_sending_shut:
             self.transport.abort()
         else:
             self.transport.close()
@@ -548,19 +552,23 @@
 
         The other requests are abandoned, since no reply to them can be delivered.
         """
+        if not self.state.may_handle:  # the client has left, or sending is shut
+            self.abort()
+            return
         self._begin_close(CloseCause.ERROR)
         self.server.ends.record(EndReason.TRUNCATED_VALUE, self)
+        self.state.handle(ConnectionEvent.INPUT_FAILED)
         self._discard_replies()
-        self.reading_stopped = True
-        self._shut_down()
+        self._shut_sending_if_done()
 
     def _abandon_requests(self) -> None:
         """Notify the handler, for each unanswered command, that the client has disconnected."""
         if any(pending_reply.encoded_reply is None for pending_reply in self.pending_replies):
-            is_lost = self.write_shut_at is not None
+            is_lost = self.state.is_sending_shut
             self._begin_close(CloseCause.CLIENT)
             self.server.ends.record(EndReason.REQUEST_LOST if is_lost else EndReason.CLIENT_LEFT, self)
         self._begin_close(CloseCause.CLIENT)
+        self.state.handle(ConnectionEvent.ABANDONED)
         self._discard_replies()
 
     def unanswered_request_ids(self) -> list[str]:
@@ -569,9 +577,7 @@
         return [request.id for request in requests if request is not None]
 
     def _discard_replies(self) -> None:
-        """Discard the pending replies and read no more; the handler ends the requests without one."""
-        self.closing = True
-        self.broken = True
+        """Discard the pending replies; the handler ends the requests without one."""
         pending = self.pending_replies
         self.pending_replies = deque()
         # Ending one request frees its place at an endpoint, which must go to none of the others.
@@ -586,35 +592,43 @@
         """Stop reading because the framing is lost; pending replies are sent before `error_reply`."""
         self._begin_close(CloseCause.ERROR)
         self.server.ends.record(reason, self)
-        self.broken = True
+        self.state.handle(ConnectionEvent.INPUT_FAILED)
         pending_reply = PendingReply(self)
         self.pending_replies.append(pending_reply)
         pending_reply.complete(error_reply)
         self.update_reading()
 
-    def _must_close_for_drain(self) -> bool:
-        """Return whether a drain closes the connection: not during a command, unless reading has stopped."""
-        return self.server.drain_started_at is not None and (
-            self.command_due_since is None or self.reading_stopped
+    def abort(self) -> None:
+        """Reset the connection at once; its requests are abandoned when the event loop reports its end."""
+        self.state.handle(ConnectionEvent.ABANDONED)
+        self.transport.abort()
+
+    def _shut_sending_if_done(self) -> None:
+        """Shut the sending side if nothing is open on a connection that is to be closed."""
+        may_shut = not self.transport.is_closing() and self.state.may_shut_sending(
+            has_pending_replies=bool(self.pending_replies),
+            is_draining=self.server.drain_started_at is not None,
+            has_unread_bytes=self.has_unread_bytes,
         )
+        if may_shut:
+            self._shut_sending()
 
-    def _shut_down(self) -> None:
+    def _shut_sending(self) -> None:
         """Shut the sending side, and close once the client has closed its side.
 
         A request that arrives after this stays unread, so its client sends it again elsewhere. Closing at
         once would reset the connection, and replies that are still in transit would be lost.
         """
-        is_ending = self.transport.is_closing() or self.write_shut_at is not None
-        if is_ending or not (self.broken or self.reading_stopped) and self.has_unread_bytes():
-            return
+        has_input_ended = not self.state.may_handle
         self._begin_close(CloseCause.DRAIN)  # unless something else has begun it
-        self.write_shut_at = monotonic()
+        self.state.handle(ConnectionEvent.SENDING_SHUT)
+        self.sending_shut_at = monotonic()
         self.server.idle.discard(self)
         self.server.timed_connections[self] = None
         self.update_reading()
         # To a client without a command only an error line can be in transit, which a close over
         # unread bytes would cut off.
-        if not self.command_count and not (self.broken and self.has_unread_bytes()):
+        if not self.command_count and not (has_input_ended and self.has_unread_bytes()):
             self.transport.close()
             return
         self.server.on_linger(self)
--- a/api_gateway/downstream/client_server.py
+++ b/api_gateway/downstream/client_server.py
@@ -20,7 +20,8 @@
 from api_gateway.downstream.body_budget import BodyBudget
 from api_gateway.downstream.client_connection import ClientConnection
 from api_gateway.downstream.client_socket import find_disconnected
-from api_gateway.downstream.connection_ends import CloseCause, ConnectionEnds, EndReason
+from api_gateway.downstream.connection_ends import ConnectionEnds, EndReason
+from api_gateway.downstream.connection_state import CloseCause
 from api_gateway.downstream.idle_connections import IdleConnections
 from api_gateway.downstream.listener import ClientListener
 from api_gateway.downstream.pending_reply import PendingReply
@@ -196,8 +197,7 @@
         except Exception:
             log.exception("serving or closing a connection failed")
             self.ends.record(EndReason.INTERNAL_ERROR, connection)
-            connection.broken = True
-            connection.transport.abort()
+            connection.abort()
             return None
 
     # Connection limit
@@ -366,7 +366,7 @@
         """Abort a connection; it stops counting towards the limit immediately."""
         self.lingering.pop(connection, None)
         self.aborted_connections[connection] = None
-        connection.transport.abort()
+        connection.abort()
 
     def closable_connections(self) -> list[ClientConnection]:
         """Return the connections idle for MIN_IDLE_S, which may be closed, longest idle first."""
@@ -385,7 +385,7 @@
         """Start or end a drain: connections close after the last pending reply, new ones after the first."""
         self.drain_started_at = monotonic() if on else None
         for connection in list(self.connections):
-            connection.reading_stopped = False
+            connection.state.is_reading_stopped = False
             self.run_isolated(connection, connection.update_reading)
             self.run_isolated(connection, connection.flush)
 
@@ -405,7 +405,7 @@
     def stop_reading(self) -> None:
         """Stop reading on all connections and handle at once what was already read."""
         for connection in list(self.connections):
-            connection.reading_stopped = True
+            connection.state.is_reading_stopped = True
             self.run_isolated(connection, connection.update_reading)
             self.run_isolated(connection, connection.read_queued_commands)
 
@@ -419,5 +419,4 @@
         if self.check_timer:
             self.check_timer.cancel()
         for connection in list(self.connections):
-            connection.closing = True
             connection.transport.close()
--- a/api_gateway/downstream/connection_ends.py
+++ b/api_gateway/downstream/connection_ends.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from api_gateway.base.reason_log import ReasonLog
+from api_gateway.downstream.connection_state import CloseCause
 
 if TYPE_CHECKING:
     from api_gateway.downstream.client_connection import ClientConnection
@@ -18,18 +19,6 @@
 log = logging.getLogger(__name__)
 
 
-class CloseCause(StrEnum):
-    """Who or what began the end of a client connection that is closed once its requests are answered."""
-
-    NONE = "none"  # nobody yet
-    CONNECTION_LIMIT = "connection_limit"  # it was accepted above the limit
-    EVICTION = "eviction"  # it was idle, and made room for another
-    LOWERED_LIMIT = "lowered_limit"
-    DRAIN = "drain"  # a standby, an upgrade or a shutdown
-    CLIENT = "client"  # the client has shut its sending side or disconnected
-    ERROR = "error"  # the gateway cannot read on or go on writing; the reason tells why
-
-
 class EndReason(StrEnum):
     """Why a client connection was ended other than after its last reply."""
 
@@ -75,13 +64,13 @@
             "client connection ended reason=%s begun_by=%s client=%s commands=%d unanswered=%d undelivered=%d"
             " unread=%d unhandled=%s sending_shut=%s requests=%s",
             reason,
-            connection.close_cause,
+            connection.state.close_cause,
             connection.transport.get_extra_info("peername"),
             connection.command_count,
             len(connection.pending_replies),
             connection.count_undelivered_bytes().unacknowledged,
             connection.count_unread_bytes(),
-            "yes" if connection.reader.has_data() else "no",
-            "no" if connection.write_shut_at is None else "yes",
+            "yes" if connection.reader.has_begun_value() else "no",
+            "yes" if connection.state.is_sending_shut else "no",
             ",".join(connection.unanswered_request_ids()[:MAX_LOGGED_IDS]) or "none",
         )
--- a/api_gateway/downstream/fair_queueing.py
+++ b/api_gateway/downstream/fair_queueing.py
@@ -16,7 +16,8 @@
 from api_gateway.base.resp import INCOMPLETE, STREAMING_THRESHOLD_BYTES
 from api_gateway.downstream.client_connection import MAX_PENDING_COMMANDS, ClientConnection
 from api_gateway.downstream.client_server import ClientServer
-from api_gateway.downstream.connection_ends import CloseCause, EndReason
+from api_gateway.downstream.connection_ends import EndReason
+from api_gateway.downstream.connection_state import CloseCause
 
 # Cost that a connection or source of weight 1 may spend per round; a short command costs 1.
 QUANTUM = 4.0
@@ -209,15 +210,14 @@
             The cost of the handled commands, and whether more can be handled now.
         """
         spent = 0.0
-        if self.transport.is_closing() or self.broken:
+        if self.transport.is_closing() or not self.state.may_handle:
             self.awaits_turn = False
         try:
-            while self.awaits_turn and spent < max_cost and self.has_window():
+            while self.awaits_turn and spent < max_cost and self.state.may_handle and self.has_window():
                 command = self.reader.next_command()
                 if command is INCOMPLETE:
                     self.awaits_turn = False
-                    self.reader.release_buffer()
-                    self._check_partial_command()
+                    self._on_commands_handled()
                 else:
                     self.handled_commands += 1
                     self.window = min(MAX_PENDING_COMMANDS, self.window + 1 / self.window)
@@ -230,8 +230,7 @@
             log.exception("handling the commands of a connection failed")
             self.server.ends.record(EndReason.INTERNAL_ERROR, self)
             self.awaits_turn = False
-            self.broken = True
-            self.transport.abort()
+            self.abort()
         self.update_reading()
         if not self.awaits_turn and not self.pending_replies:
             self.flush()
@@ -251,7 +250,7 @@
 
     def is_closed_by_half_close(self) -> bool:
         """Return whether a client that has shut its sending side counts as disconnected."""
-        return not self.scheduler.half_closed or self.write_shut_at is not None
+        return not self.scheduler.half_closed or self.state.is_sending_shut
 
     def queue_for_turn(self) -> None:
         """Queue for a turn if commands wait and the window has opened."""
--- a/tests/control/test_control_server.py
+++ b/tests/control/test_control_server.py
@@ -207,7 +207,7 @@
         await host.arrived.get()
         await node.call_control("POST /standby")
         client = next(iter(node.node.clients.connections))
-        await wait_until(lambda: client.reading_stopped)
+        await wait_until(lambda: client.state.is_reading_stopped)
         writer.write(command(b"second"))
         assert (await node.call_control("POST /active"))[0] == 200
         while (arrived := await host.arrived.get()) is None or arrived[2] != b"second":
--- a/tests/downstream/test_client_connection.py
+++ b/tests/downstream/test_client_connection.py
@@ -24,7 +24,7 @@
 
 from api_gateway.downstream import client_connection as clients
 from api_gateway.downstream import client_server
-from api_gateway.downstream.connection_ends import CloseCause
+from api_gateway.downstream.connection_state import CloseCause
 from api_gateway.gateway import shutdown
 from api_gateway.policy import load_shedding as shedding
 
@@ -454,7 +454,7 @@
         assert (await host.arrived.get())[2] == b"hangs"
         stop_task = asyncio.create_task(node.node.stop())
         (client,) = node.node.clients.connections
-        await wait_until(lambda: client.reading_stopped)
+        await wait_until(lambda: client.state.is_reading_stopped)
         assert node.node.in_flight  # reading did not stop only because the shutdown is complete
         peer.send(command(b"late"))
         assert await peer.read() == b"-ERR failed\r\n"
--- a/tests/downstream/test_connection_ends.py
+++ b/tests/downstream/test_connection_ends.py
@@ -4,7 +4,8 @@
 
 from netkit import Node, StubHost, command, on_loop, wait_until
 
-from api_gateway.downstream.connection_ends import CloseCause, EndReason
+from api_gateway.downstream.connection_ends import EndReason
+from api_gateway.downstream.connection_state import CloseCause
 
 
 @on_loop
--- a/tests/downstream/test_fair_queueing.py
+++ b/tests/downstream/test_fair_queueing.py
@@ -11,7 +11,7 @@
 from api_gateway.downstream import client_connection as clients
 from api_gateway.downstream import client_server, fair_queueing
 from api_gateway.downstream.admission_settings import parse_admission_settings
-from api_gateway.downstream.connection_ends import CloseCause
+from api_gateway.downstream.connection_state import CloseCause
 from api_gateway.downstream.fair_queueing import BATCH_COST, QUANTUM, FairQueue, SourceQueue, command_cost
 from api_gateway.downstream.rate_limits import ConnectionLimiter
 
