A connection with part of a command is ended only after an answer to it

What callers saw: clients that had sent half of a small command lost the request when a crowd of new connections came, 85 of 85 with 170 new ones; drains ended such connections without an answer, too. Cause: evictions and the search for a descriptor asked is_busy, which did not know of a command that has begun; closes and drains asked the kernel only. Change: all ends ask the state. Idle connections go first; part of a command is awaited, or answered -BUSY where the connection has to end. Input that is not handled any more is released at once.

--- a/api_gateway/downstream/client_connection.py
+++ b/api_gateway/downstream/client_connection.py
@@ -20,7 +20,7 @@
 )
 from api_gateway.downstream.command_reader import MAX_COMMAND_BYTES, CommandReader
 from api_gateway.downstream.connection_ends import EndReason
-from api_gateway.downstream.connection_state import CloseCause, ConnectionEvent, ConnectionState
+from api_gateway.downstream.connection_state import CloseCause, ConnectionEvent, ConnectionState, Input
 from api_gateway.downstream.large_body import DiscardedBody, LargeBody
 from api_gateway.downstream.partial_command import PartialCommand
 from api_gateway.downstream.pending_reply import PendingReply
@@ -46,8 +46,10 @@
 LINGER_TIMEOUT_S = 1.0
 # Seconds for the first command on a connection that is accepted during a drain.
 DRAIN_FIRST_COMMAND_TIMEOUT_S = 1.0
-# Seconds after the end of reading in a drain for a body to arrive that has waited for memory, kept or not.
-DRAIN_DISCARD_S = 1.0
+# Seconds after the end of reading in a drain for the rest of a command that has begun to arrive.
+DRAIN_PARTIAL_COMMAND_S = 1.0
+# Answers a command of which only a part has come, when its connection has to end.
+PARTIAL_COMMAND_REPLY = b"-BUSY\r\n"
 
 
 class ClientConnection(asyncio.BufferedProtocol):
@@ -71,7 +73,6 @@
         # Input that is incomplete or not handled yet.
         self.partial_command = PartialCommand(server.partial_command_budget)
         self.awaits_body_budget = False
-        self.has_body_waited = False  # whether the body that is received has waited for the budget
         self.awaits_turn = False  # whether commands that were read wait for a turn of the event loop
         self.is_queued_for_turn = False
         self.turn_number = -1  # the last turn in which a command was handled
@@ -105,14 +106,9 @@
         self.server.remove_connection(self)
         if self.on_closed is not None:
             self.on_closed()
-        self.reader.discard_sink()
-        self.partial_command.release()
-        self.reply_account.close()
-        self.server.body_budget.cancel(self)
-        body = self.reader.take_body()
-        if body:
-            body.release()
         self._abandon_requests()
+        self._drop_input()
+        self.reply_account.close()
 
     def eof_received(self) -> bool:
         """Treat the client as disconnected, even with unread replies; False closes the transport."""
@@ -201,6 +197,18 @@
         self.state.on_commands_handled(is_partial=self.reader.has_begun_value())
         self.reader.release_buffer()
         self._check_partial_command()
+        if self.state.is_reading_stopped:
+            self._reject_partial_command()
+        self._update_idle()
+
+    def _update_idle(self) -> None:
+        """Enter the connection among those that may be closed to make room, if it may."""
+        if self.is_at_rest():
+            self.server.idle.add(self)
+        elif self._is_partial_command_all():
+            self.server.idle.add_partial(self)
+        else:
+            self.server.idle.discard(self)
 
     def _may_handle_command(self) -> bool:
         return self.can_handle_more() and self.server.turns.take_command(self)
@@ -225,7 +233,6 @@
         self.partial_command.release()
         self.last_read_at = monotonic()
         if self.reading_paused:
-            self.has_body_waited = True
             self.send_time.on_wait_ended(self.last_read_at)
         self.state.on_bytes_read()  # the whole body may have waited in the reader
         self.reader.receive_body(body)
@@ -249,7 +256,6 @@
         self.command_due_since = self.last_command_at if self.reader.has_data() else None
         body = self.reader.take_body()
         if body:
-            self.has_body_waited = False
             self.send_time.on_large_command_ended()
         large_body = body if isinstance(body, LargeBody) else None
         pending_reply = PendingReply(self, large_body)
@@ -292,8 +298,7 @@
         self._shut_sending_if_done()
         if self.reading_paused:
             self.update_reading()
-        if not pending and not self.state.is_closing:
-            self.server.idle.add(self)
+        self._update_idle()
 
     def _take_writable_replies(self) -> bytes:
         """Remove the next complete replies, up to MAX_WRITE_BYTES, and return them; empty if none can go."""
@@ -360,27 +365,30 @@
 
     # State
 
-    def _has_work(self) -> bool:
-        """Return whether replies or input are pending, or the connection closes when they no longer are."""
-        return bool(
-            self.pending_replies
-            or self.state.is_closing
-            or self.reader.incoming_body
-            or self.awaits_body_budget
-            or self.awaits_turn
+    def is_at_rest(self) -> bool:
+        """Return whether no request and no part of one has been read that is open."""
+        return not self.transport.is_closing() and self.state.is_at_rest(
+            has_pending_replies=bool(self.pending_replies)
+        )
+
+    def _is_partial_command_all(self) -> bool:
+        """Return whether the beginning of a command, without a large body, is all that is open."""
+        has_large_body = bool(self.reader.incoming_body) or self.awaits_body_budget
+        return not has_large_body and self.state.has_only_a_part(
+            has_pending_replies=bool(self.pending_replies)
         )
 
-    def is_busy(self) -> bool:
-        """Return whether replies or input are pending, or the connection is closing."""
-        return self._has_work() or self.transport.is_closing()
+    def may_be_evicted(self) -> bool:
+        """Return whether the connection may be ended to make room, without an answer or with a rejection."""
+        return self.is_at_rest() or not self.transport.is_closing() and self._is_partial_command_all()
 
     def is_idle(self, since: float) -> bool:
         """Return whether the connection has been without a request since the monotonic time `since`.
 
         A request is open until its reply is delivered.
         """
-        is_between_commands = self.command_due_since is None
-        has_no_request = not self._has_work() and is_between_commands and self.last_command_at <= since
+        is_between_commands = self.state.input is Input.EMPTY
+        has_no_request = self.is_at_rest() and is_between_commands and self.last_command_at <= since
         return has_no_request and self.delivery_state(monotonic()).can_make_room
 
     def has_unread_bytes(self) -> bool:
@@ -487,8 +495,7 @@
         """
         state = self.delivery_state(now)
         if state is DeliveryState.DELIVERED:
-            if not self.is_busy():
-                self.server.idle.add(self)
+            self._update_idle()
             return True
         if state is DeliveryState.GIVEN_UP:
             self.server.ends.record(EndReason.REPLIES_UNREAD, self)
@@ -498,19 +505,23 @@
     def _check_drain(self, now: float, drain_started_at: float) -> None:
         """Stop reading late in a drain and close if nothing is pending; complete commands are served.
 
-        A command whose body waits for the budget may be complete, too: it is rejected. So may one that has
-        just got the budget of others, which were rejected: its body is read for DRAIN_DISCARD_S.
+        A command that has begun gets DRAIN_PARTIAL_COMMAND_S for its rest, without waiting for memory, as its
+        client may have sent it whole. After that it is rejected.
         """
         late_by = now - drain_started_at - self.server.drain_read_s
         if late_by > 0 and (self.pending_replies or now - self.connected_at > DRAIN_FIRST_COMMAND_TIMEOUT_S):
             if self.awaits_body_budget:
                 self._reject_body()
-            may_be_complete = bool(self.reader.incoming_body) and self.has_body_waited
-            if not may_be_complete or late_by > DRAIN_DISCARD_S:
-                self.state.is_reading_stopped = True
-                self.update_reading()
+            if self.state.input is not Input.PARTIAL or late_by > DRAIN_PARTIAL_COMMAND_S:
+                self.stop_reading()
         self.flush()
 
+    def stop_reading(self) -> None:
+        """Read no more until a drain is over, and reject a command of which only a part has been read."""
+        self.state.is_reading_stopped = True
+        self.update_reading()
+        self._reject_partial_command()
+
     def _check_linger(self, now: float) -> None:
         """Abort if the client has the replies and does not close its side in time, or takes none of them."""
         if not self._check_delivery(now):
@@ -526,6 +537,12 @@
         self._begin_close(cause)
         self.flush()
 
+    def evict(self) -> None:
+        """Close to make room for others: at once, or after the answer to what the client has sent."""
+        self._begin_close(CloseCause.EVICTION)
+        self._reject_partial_command()
+        self.flush()
+
     def _begin_close(self, cause: CloseCause) -> None:
         """Note that the connection is to be closed; the first cause is the one that is reported."""
         if self.state.begin_close(cause):
@@ -558,6 +575,7 @@
         self._begin_close(CloseCause.ERROR)
         self.server.ends.record(EndReason.TRUNCATED_VALUE, self)
         self.state.handle(ConnectionEvent.INPUT_FAILED)
+        self._drop_input()
         self._discard_replies()
         self._shut_sending_if_done()
 
@@ -569,6 +587,7 @@
             self.server.ends.record(EndReason.REQUEST_LOST if is_lost else EndReason.CLIENT_LEFT, self)
         self._begin_close(CloseCause.CLIENT)
         self.state.handle(ConnectionEvent.ABANDONED)
+        self._drop_input()
         self._discard_replies()
 
     def unanswered_request_ids(self) -> list[str]:
@@ -589,15 +608,37 @@
                 self.server.handler.on_client_disconnected(pending_reply)
 
     def _fail(self, error_reply: bytes, reason: EndReason) -> None:
-        """Stop reading because the framing is lost; pending replies are sent before `error_reply`."""
+        """Handle no more input; pending replies are sent before `error_reply`."""
         self._begin_close(CloseCause.ERROR)
         self.server.ends.record(reason, self)
         self.state.handle(ConnectionEvent.INPUT_FAILED)
+        self._drop_input()
         pending_reply = PendingReply(self)
         self.pending_replies.append(pending_reply)
         pending_reply.complete(error_reply)
         self.update_reading()
 
+    def _reject_partial_command(self) -> None:
+        """Reject a command of which only a part has been read, if there is one, and handle no more input.
+
+        Its client may have sent the rest already, so it would lose the request if it got no answer.
+        """
+        if not self.state.may_handle or self.state.input is not Input.PARTIAL:
+            return
+        self._fail(PARTIAL_COMMAND_REPLY, EndReason.PARTIAL_COMMAND)
+
+    def _drop_input(self) -> None:
+        """Forget what was read and not handled, and release its memory."""
+        self.server.body_budget.cancel(self)
+        self.awaits_body_budget = False
+        self.awaits_turn = False
+        self.reader.discard_sink()
+        body = self.reader.take_body()
+        if body:
+            body.release()
+        self.reader = CommandReader()
+        self.partial_command.release()
+
     def abort(self) -> None:
         """Reset the connection at once; its requests are abandoned when the event loop reports its end."""
         self.state.handle(ConnectionEvent.ABANDONED)
--- a/api_gateway/downstream/client_server.py
+++ b/api_gateway/downstream/client_server.py
@@ -240,26 +240,27 @@
     def evict_idle(self, new_connection: ClientConnection) -> bool:
         """Close an idle connection other than `new_connection`, preferably one with nothing unread.
 
-        One with an undelivered reply is not idle until that is delivered.
+        One with an undelivered reply is not idle until that is delivered. A command of which only a part has
+        come is rejected if no idle connection may be closed before it.
 
         Returns:
             Whether there was one. A connection with unread bytes closes once these are answered.
         """
         with_unread_bytes = None
         for _ in range(EVICTION_CANDIDATES):
-            connection = self.idle.next_to_close(max(1.0, self.capacity * FRESH_IDLE_FRACTION))
-            if connection is None or connection is new_connection:
+            max_fresh = max(1.0, self.capacity * FRESH_IDLE_FRACTION)
+            connection = self.idle.next_to_close(max_fresh, excluded=new_connection)
+            if connection is None:
                 break
             self.idle.discard(connection)  # added again after its next reply, or once that is delivered
-            if connection.is_busy() or not self.can_make_room(connection):
+            if not connection.may_be_evicted() or not self.can_make_room(connection):
                 continue
             if not self.run_isolated(connection, connection.has_unread_bytes):
-                self.run_isolated(connection, partial(connection.close_when_done, CloseCause.EVICTION))
+                self.run_isolated(connection, connection.evict)
                 return True
             with_unread_bytes = with_unread_bytes or connection
         if with_unread_bytes is not None:
-            close = partial(with_unread_bytes.close_when_done, CloseCause.EVICTION)
-            self.run_isolated(with_unread_bytes, close)
+            self.run_isolated(with_unread_bytes, with_unread_bytes.evict)
         return with_unread_bytes is not None
 
     def can_make_room(self, connection: ClientConnection) -> bool:
@@ -329,14 +330,14 @@
             Whether there was one.
         """
         since = monotonic() - MIN_IDLE_S
-        has_many_fresh = len(self.idle.fresh) > max(1.0, self.capacity * FRESH_IDLE_FRACTION)
+        has_many_fresh = self.idle.are_fresh_many(max(1.0, self.capacity * FRESH_IDLE_FRACTION))
         for connection in list(islice(self.idle.fresh, EVICTION_CANDIDATES)):
             if not has_many_fresh and connection.last_command_at > since:
                 return False  # the remaining ones became idle later
             if connection.transport.get_extra_info("socket").fileno() >= descriptor_limit:
                 continue
             self.idle.discard(connection)  # added again after its next reply, or once that is delivered
-            if connection.is_busy() or not self.can_make_room(connection):
+            if not connection.is_at_rest() or not self.can_make_room(connection):
                 continue
             if self.run_isolated(connection, connection.has_unread_bytes) is False:
                 self.abort(connection)
@@ -405,8 +406,7 @@
     def stop_reading(self) -> None:
         """Stop reading on all connections and handle at once what was already read."""
         for connection in list(self.connections):
-            connection.state.is_reading_stopped = True
-            self.run_isolated(connection, connection.update_reading)
+            self.run_isolated(connection, connection.stop_reading)
             self.run_isolated(connection, connection.read_queued_commands)
 
     def has_undelivered_replies(self) -> bool:
--- a/api_gateway/downstream/connection_ends.py
+++ b/api_gateway/downstream/connection_ends.py
@@ -26,6 +26,7 @@
     COMMAND_TOO_LONG = "command_too_long"
     NO_MEMORY = "no_memory"  # for the rest of a command or a reply
     COMMAND_TIMEOUT = "command_timeout"
+    PARTIAL_COMMAND = "partial_command"  # one that had begun was rejected, as the connection had to end
     REPLIES_UNREAD = "replies_unread"  # the client read nothing for too long
     CLIENT_LEFT = "client_left"  # with commands unanswered
     REQUEST_LOST = "request_lost"  # the gateway had shut its sending side with commands unanswered
--- a/api_gateway/downstream/connection_state.py
+++ b/api_gateway/downstream/connection_state.py
@@ -167,25 +167,30 @@
         """Whether the connection only waits for the client to close its side."""
         return self.phase is Phase.SENDING_SHUT
 
+    @property
+    def has_no_input(self) -> bool:
+        """Whether no command and no part of one was read that is not handled."""
+        return self.input in (Input.NONE_YET, Input.EMPTY)
+
     def is_at_rest(self, *, has_pending_replies: bool) -> bool:
         """Return whether no request and no part of one is open, as far as the socket has been read.
 
-        Only such a connection may be closed to make room for others.
+        Only such a connection may be closed without an answer to make room for others.
         """
-        has_no_input = self.input in (Input.NONE_YET, Input.EMPTY)
-        return self.phase is Phase.OPEN and has_no_input and not has_pending_replies
+        return self.phase is Phase.OPEN and self.has_no_input and not has_pending_replies
 
-    def is_between_commands(self) -> bool:
-        """Return whether the connection has sent commands and no part of a further one."""
-        return self.input is Input.EMPTY
+    def has_only_a_part(self, *, has_pending_replies: bool) -> bool:
+        """Return whether the beginning of a command is all that is open on an open connection."""
+        return self.phase is Phase.OPEN and self.input is Input.PARTIAL and not has_pending_replies
 
     def may_shut_sending(
         self, *, has_pending_replies: bool, is_draining: bool, has_unread_bytes: Callable[[], bool]
     ) -> bool:
         """Return whether the sending side is to be shut now.
 
-        A request or a part of one that has been read is answered first. What is unread when reading has been
-        stopped, or arrives later, stays unread, so that its client sends it again elsewhere.
+        A request or a part of one that has been read is answered first: when reading is stopped, a part has
+        to be rejected. What is unread then, or arrives later, stays unread, so that its client sends it again
+        elsewhere.
 
         Args:
             has_pending_replies: Whether replies are not complete or not written.
@@ -201,9 +206,8 @@
 
     def _is_close_due(self, *, is_draining: bool) -> bool:
         """Return whether a close is requested and nothing that has been read forbids it."""
-        if self.phase is Phase.CLOSING:
-            return self.input is not Input.UNHANDLED
-        # A drain leaves a new connection some time for its first command, and a command that has begun for
-        # its rest, until reading is stopped.
-        may_have_input = self.is_reading_stopped and self.input is not Input.UNHANDLED
-        return is_draining and (self.input is Input.EMPTY or may_have_input)
+        # A drain leaves a new connection some time for its first command, until reading is stopped.
+        is_first_command_due = self.input is Input.NONE_YET and not self.is_reading_stopped
+        if self.phase is Phase.OPEN and (not is_draining or is_first_command_due):
+            return False
+        return self.has_no_input
