An idle connection gives up the parser buffer that a command over 1 KB has grown

Cause: a parser was replaced only after it had held over 16 KB; each idle connection kept up to 28 KB that no budget counts. Change: the threshold is 1 KB.

--- a/api_gateway/base/resp.py
+++ b/api_gateway/base/resp.py
@@ -20,8 +20,8 @@
 STREAMING_THRESHOLD_BYTES = 64 * 1024
 # Maximum length of a value by the protocol.
 MAX_VALUE_BYTES = 4 * 1024 * 1024
-# Length of its buffered input from which on a parser is replaced once it is empty.
-KEPT_BUFFER_BYTES = 16 * 1024
+# Length of its buffered input from which on a parser is replaced once it is empty, as it keeps its buffer.
+KEPT_BUFFER_BYTES = 1024
 # Returned by `gets` when more bytes are needed, since None and False are values. Any, as values are.
 INCOMPLETE: Any = object()
 # Fed to hiredis in place of a large string.
--- a/tests/base/test_resp.py
+++ b/tests/base/test_resp.py
@@ -125,3 +125,16 @@
     long_part = b"x" * size
     assert reader.gets() == [[long_part] if nested else long_part, b"a", b"b"]
     assert not reader.has_begun_value()
+
+
+# Guards against idle connections that each keep the buffer of the longest command that they have read.
+@pytest.mark.parametrize("size", [2_000, 12_000, 60_000])
+def test_a_parser_that_has_grown_is_replaced_once_it_is_empty(size):
+    reader = RespReader(100_000)
+    grown = reader.reader
+    text = b"*1\r\n$%d\r\n%s\r\n" % (size, b"x" * size)
+    for start in range(0, len(text), 4096):
+        reader.feed(text[start : start + 4096])
+    assert reader.gets() == [b"x" * size]
+    reader.release_buffer()
+    assert reader.reader is not grown
