--- a/tests/hostile_clients.py
+++ b/tests/hostile_clients.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 import itertools
+import math
 import os
 import socket
 import struct
@@ -117,10 +118,16 @@
 
 async def read_slowly(_, writer):
     """Read SLOW_READ_BYTES_PER_S until the gateway ends the connection."""
+    await read_slowly_for(writer, math.inf)
+
+
+async def read_slowly_for(writer, seconds):
+    """Read SLOW_READ_BYTES_PER_S for some seconds, or until the gateway ends the connection."""
     writer.transport.pause_reading()
+    ends_at = time.monotonic() + seconds
     sock = socket.socket(fileno=os.dup(writer.get_extra_info("socket").fileno()))
     with sock:
-        while True:
+        while time.monotonic() < ends_at:
             await asyncio.sleep(SLOW_READ_INTERVAL_S)
             with contextlib.suppress(BlockingIOError):
                 if not sock.recv(int(SLOW_READ_BYTES_PER_S * SLOW_READ_INTERVAL_S)):
@@ -196,6 +203,17 @@
     await load.for_each_connection(act)
 
 
+async def slow_answer_readers(load):
+    """Ask for 3 values of 60,000 bytes one after another, which slow hosts write slowly."""
+
+    async def act(reader, writer, _):
+        while time.monotonic() < load.end:
+            writer.write(b"".join(read(id_for(60_000)) for _ in range(3)))
+            await read_slowly_for(writer, 2.0)
+
+    await load.for_each_connection(act)
+
+
 async def write_slowly(load, size):
     async def act(reader, writer, number):
         text = note(id_for(), size)
@@ -365,7 +383,9 @@
     same_ids: 8,
     idle_crowd: 331,
 }
-BY_NAME = {kind.__name__: kind for kind in KINDS}
+# Played by soak_mixed_clients.py only, so that the draws of soak_hostile_clients.py stay.
+MIXED_KINDS = [*KINDS, slow_answer_readers]
+BY_NAME = {kind.__name__: kind for kind in MIXED_KINDS}
 
 
 def main():
--- a/tests/soak_hostile_clients.py
+++ b/tests/soak_hostile_clients.py
@@ -89,7 +89,7 @@
 def draw_plan(seed):
     """Draw the plan of a seed."""
     rng = random.Random(seed)
-    kinds = sorted(hostile_clients.BY_NAME)
+    kinds = sorted(kind.__name__ for kind in hostile_clients.KINDS)
     return Plan(
         kinds=rng.sample(kinds, rng.choice([1, 1, 2, 3])),
         memory_mb=rng.choice(MEMORY_LIMITS_MB),
@@ -222,13 +222,16 @@
         kind = hostile_clients.BY_NAME[name]
         limit = self.plan.descriptors // CLIENT_FRACTION - POLITE_CLIENTS - 6
         count = min(hostile_clients.KINDS[kind], max(1, limit // len(self.plan.kinds)))
+        await self.run_hostile_process(port, name, count, self.plan.seconds)
+
+    async def run_hostile_process(self, port, name, count, seconds):
         process = await asyncio.create_subprocess_exec(
             sys.executable,
             str(ROOT / "tests" / "hostile_clients.py"),
             name,
             str(port),
             str(count),
-            str(self.plan.seconds),
+            str(seconds),
             stdout=subprocess.PIPE,
         )
         out, _ = await process.communicate()
@@ -279,10 +282,7 @@
             self.folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
             counter = await stack.enter_async_context(StubCounter())
             discovery = await stack.enter_async_context(StubDiscovery())
-            hosts = [
-                await stack.enter_async_context(ValueHost(n, self.plan.slow_hosts and n == 0))
-                for n in range(4)
-            ]
+            hosts = [await stack.enter_async_context(ValueHost(n, self.is_slow_host(n))) for n in range(4)]
             discovery.servers = [entry(host, f"h{number}") for number, host in enumerate(hosts)]
             self.config = gateway_config(discovery.servers, discovery.port, counter.port, SETTINGS)
             self.config["limits"] = {
@@ -302,6 +302,9 @@
             self.check(hosts)
         return self.violations
 
+    def is_slow_host(self, number):
+        return self.plan.slow_hosts and number == 0
+
     async def start_gateway(self):
         """Start a process under the limits of the plan and wait until it is ready."""
         gateway = await start_gateway(
@@ -377,6 +380,13 @@
     """Play a plan, print its outcome and return the violations."""
     soak_run = SoakRun(plan, seed, planted)
     await soak_run.run()
+    print_outcome(soak_run)
+    return soak_run.violations
+
+
+def print_outcome(soak_run):
+    """Print what a run played, what it measured and its violations."""
+    seed, plan = soak_run.seed, soak_run.plan
     verdict = ", ".join(f"{rule} {count}" for rule, count in soak_run.violations.items()) or "passed"
     replies = Tally(reply.reply[:1].decode() or "none" for reply in soak_run.replies)
     slowest = max((reply.seconds for reply in soak_run.replies), default=0.0)
@@ -388,7 +398,6 @@
         sep="\n    ",
         flush=True,
     )
-    return soak_run.violations
 
 
 def main():
@@ -396,7 +405,7 @@
     parser = argparse.ArgumentParser(description="soak test of a real gateway with hostile clients")
     parser.add_argument("--seeds", type=int, default=20)
     parser.add_argument("--first", type=int, default=1)
-    parser.add_argument("--kinds", nargs="*", choices=sorted(hostile_clients.BY_NAME))
+    parser.add_argument("--kinds", nargs="*", choices=sorted(kind.__name__ for kind in hostile_clients.KINDS))
     parser.add_argument("--memory-mb", type=int, default=32)
     parser.add_argument("--descriptors", type=int, default=1024)
     parser.add_argument("--signals", nargs="*", default=[])
