The sum of all budgets and connections is within the memory limit

Cause: each budget was bounded, and not their sum: with replies at three times theirs 33.9 of 32 MB, 219.5 of 192, and up to 960 connections in none of them. Change: budgets are fractions of what the program (17 MB) and the connections (6 KB each) leave; replies may take twice theirs; an incomplete command or answer counts from 1 KB on, as the rest is in the 6 KB.

--- a/api_gateway/downstream/client_server.py
+++ b/api_gateway/downstream/client_server.py
@@ -37,7 +37,7 @@
 # Capacity of a budget until the limits of the process are applied.
 DEFAULT_BUDGET_BYTES = 1024 * 1024
 # Multiple of the budget for replies from which on slow readers are disconnected.
-MAX_REPLY_OVERRUN = 3
+MAX_REPLY_OVERRUN = 2
 # Bytes read at once from one client.
 READ_BUFFER_BYTES = 64 * 1024
 # Seconds between two checks for timeouts, and for clients that disconnected while reading was paused.
--- a/api_gateway/downstream/partial_command.py
+++ b/api_gateway/downstream/partial_command.py
@@ -5,7 +5,7 @@
 from api_gateway.base.byte_budget import ByteBudget
 
 # Bytes of an incomplete command that do not count in the budget.
-UNCOUNTED_COMMAND_BYTES = 4096
+UNCOUNTED_COMMAND_BYTES = 1024
 # The parser doubles its buffer when it is full.
 PARSER_BUFFER_GROWTH = 2
 
--- a/api_gateway/gateway/process_limits.py
+++ b/api_gateway/gateway/process_limits.py
@@ -16,15 +16,18 @@
 from api_gateway.gateway.in_flight import InFlightRequests
 from api_gateway.upstream.endpoint_pools import EndpointPools
 
-# Memory that a process uses without any clients.
-PROCESS_BASE_BYTES = 20 * 1024 * 1024
-# Fractions of the remaining memory for each kind of holding. Connections and the allocator need memory, too.
+# Memory that a process uses without any connections.
+PROCESS_BASE_BYTES = 17 * 1024 * 1024
+# Memory of one connection to a client or an endpoint, without what the budgets count.
+CONNECTION_BYTES = 6 * 1024
+# Fractions for each kind of holding of the memory that these leave. Replies may exceed theirs by
+# MAX_REPLY_OVERRUN; the sum is below 1, because the allocator needs memory, too.
 LARGE_BODY_FRACTION = 0.36
 PARTIAL_COMMAND_FRACTION = 0.08
-REQUEST_FRACTION = 0.2
-CUSTOMER_FRACTION = 0.12
-REPLY_FRACTION = 0.1
-ANSWER_FRACTION = 0.1
+REQUEST_FRACTION = 0.18
+CUSTOMER_FRACTION = 0.11
+REPLY_FRACTION = 0.07
+ANSWER_FRACTION = 0.08
 # Memory of the state of one customer.
 CUSTOMER_BYTES = 2048
 # Memory that is divided even if the limit leaves less.
@@ -105,16 +108,21 @@
             max(config.max_descriptors - RESERVED_DESCRIPTORS, config.max_descriptors // 2)
             // self.process_count
         )
-        spare_bytes = config.max_memory_bytes / self.process_count - PROCESS_BASE_BYTES
+        connections = descriptors // 2
+        connection_bytes = 2 * connections * CONNECTION_BYTES  # those to clients and those to endpoints
+        spare_bytes = config.max_memory_bytes / self.process_count - PROCESS_BASE_BYTES - connection_bytes
         budget_bytes = int(min(max(spare_bytes, MIN_BUDGET_BYTES), sys.maxsize))
+        large_body_bytes = max(MAX_VALUE_BYTES, int(budget_bytes * LARGE_BODY_FRACTION))
+        # One large body must fit; where its fraction is less, the others share the rest.
+        other_bytes = (budget_bytes - large_body_bytes) / (1 - LARGE_BODY_FRACTION)
         return Capacity(
-            connections=descriptors // 2,
-            large_body_bytes=max(MAX_VALUE_BYTES, int(budget_bytes * LARGE_BODY_FRACTION)),
-            partial_command_bytes=int(budget_bytes * PARTIAL_COMMAND_FRACTION),
-            request_bytes=int(budget_bytes * REQUEST_FRACTION),
-            customers=int(budget_bytes * CUSTOMER_FRACTION) // CUSTOMER_BYTES,
-            reply_bytes=int(budget_bytes * REPLY_FRACTION),
-            answer_bytes=int(budget_bytes * ANSWER_FRACTION),
+            connections=connections,
+            large_body_bytes=large_body_bytes,
+            partial_command_bytes=int(other_bytes * PARTIAL_COMMAND_FRACTION),
+            request_bytes=int(other_bytes * REQUEST_FRACTION),
+            customers=int(other_bytes * CUSTOMER_FRACTION) // CUSTOMER_BYTES,
+            reply_bytes=int(other_bytes * REPLY_FRACTION),
+            answer_bytes=int(other_bytes * ANSWER_FRACTION),
         )
 
     def memory_bytes(self) -> float:
--- a/api_gateway/upstream/connection.py
+++ b/api_gateway/upstream/connection.py
@@ -23,7 +23,7 @@
 MAX_REPLY_BYTES = STREAMING_THRESHOLD_BYTES + 4096
 # Bytes of an incomplete answer that do not count in the budget, and the factor by which the others do: the
 # parser doubles its buffer when it is full.
-UNCOUNTED_ANSWER_BYTES = 4096
+UNCOUNTED_ANSWER_BYTES = 1024
 PARSER_BUFFER_GROWTH = 2
 # An answer consists of the value, the metered use and the load report.
 REPLY_PARTS = 3
