--- a/tests/injected/planted.py
+++ b/tests/injected/planted.py
@@ -9,6 +9,7 @@
 from api_gateway.base import byte_budget
 from api_gateway.downstream import (
     client_connection,
+    connection_state,
     pending_reply,
     reply_account,
     reply_delivery,
@@ -176,7 +177,24 @@
     retries.AttemptSender.on_attempt_not_sent = lambda self, event: None
 
 
+def shut_behind_the_first_reply():
+    """Shut sending although commands that were read are not handled."""
+    connection_state.ConnectionState._is_close_due = lambda self, *, is_draining: (
+        is_draining or self.phase is connection_state.Phase.CLOSING
+    )
+
+
+def forget_parts_of_commands():
+    """Take a connection on which a command has begun for one without input."""
+    connection_state.ConnectionState.has_no_input = property(
+        lambda self: self.input is not connection_state.Input.UNHANDLED
+    )
+    client_connection.ClientConnection._reject_partial_command = lambda self: None
+
+
 PLANTED = {
+    "shut behind first": shut_behind_the_first_reply,
+    "parts forgotten": forget_parts_of_commands,
     "early delivery": count_written_as_delivered,
     "early idle": count_written_as_delivered,
     "no hold": handle_commands_behind_values,
