Property test of ends: hosts that reset, close or leave, against every place of a request

Need: ends come from the side of the hosts, too. Change: five series of ends of connections to hosts with each place, and drawn series of both sides.

--- a/tests/downstream/ends_by_places.py
+++ b/tests/downstream/ends_by_places.py
@@ -170,7 +170,7 @@
         peer.send(stream[cuts[0] : cuts[1]]) if cuts[1] > cuts[0] else None
         for end in self.plan.ends:
             if connection in self.server.connections:  # an end before it may have closed the connection
-                await END_ACTIONS[end](self, connection)
+                await ALL_END_ACTIONS[end](self, connection)
         await asyncio.sleep(self.plan.delay_s)
         with contextlib.suppress(OSError):
             peer.send(stream[cuts[1] :])
@@ -266,6 +266,21 @@
     async def expire(self, connection):
         connection.check_timeouts(asyncio.get_running_loop().time() + 1.5)
 
+    # Ends of the connections to hosts
+
+    async def reset_by_hosts(self, connection):
+        for writer in self.host.writers_by_task.values():
+            writer.transport.abort()
+        await asyncio.sleep(0.02)
+
+    async def close_host_connections(self, connection):
+        self.node.node.upstream.max_connections = 1
+        self.node.node.upstream.close_excess_idle()
+        self.node.node.upstream.close_idle("h1")
+
+    async def remove_host(self, connection):
+        self.node.node.upstream.pools["h1"].stop()
+
 
 END_ACTIONS = {
     "limit": Play.request_close,
@@ -280,6 +295,14 @@
     "make room": Play.close_lingering,
     "time-out": Play.expire,
 }
+# Ends on the other side. A value in transfer that breaks off ends the client's connection, so none is drawn
+# with these.
+HOST_END_ACTIONS = {
+    "hosts reset": Play.reset_by_hosts,
+    "host connections": Play.close_host_connections,
+    "host removed": Play.remove_host,
+}
+ALL_END_ACTIONS = END_ACTIONS | HOST_END_ACTIONS
 # Series of ends that each place is played with.
 ENDS = {
     "limit": ["limit"],
@@ -295,6 +318,13 @@
     "time-out": ["time-out"],
     "drain, time-out": ["drain", "time-out", "a while"],
 }
+HOST_ENDS = {
+    "hosts reset": ["hosts reset"],
+    "host connections": ["host connections"],
+    "host removed": ["host removed"],
+    "hosts reset, drain": ["hosts reset", "drain", "hosts reset", "a while"],
+    "limit, host removed": ["limit", "host removed", "hosts reset"],
+}
 FAIR_EDGE = {"edge": {"turns": True}}
 
 
@@ -316,6 +346,15 @@
     )
 
 
+def draw_plan_of_both_sides(seed):
+    """Draw a plan in which hosts end connections, too."""
+    plan = draw_plan(seed)
+    rng = random.Random(f"both {seed}")
+    plan.kinds = ["now" if kind == "value" else kind for kind in plan.kinds]
+    plan.ends.insert(rng.randint(0, len(plan.ends)), rng.choice(list(HOST_END_ACTIONS)))
+    return plan
+
+
 async def run_plan(plan, path, monkeypatch):
     """Play a plan with a gateway of its own and return the outcome."""
     for name, seconds in SHORT_TIMES.items():
