No more than 4 KB is read behind a large body, as what follows may wait for memory

Change: the read ends with the body, or after 4 KB; 8 KB are set aside for a client's connection and 5 KB for an endpoint's.

--- a/api_gateway/downstream/client_connection.py
+++ b/api_gateway/downstream/client_connection.py
@@ -116,9 +116,11 @@
         return False
 
     def get_buffer(self, sizehint: int) -> memoryview:
-        """Return where to read the next bytes; all connections share it, as they are copied at once."""
-        buffer = self.server.read_buffer
-        return buffer if self.reader.incoming_body else buffer[:COMMAND_READ_BYTES]
+        """Return where to read the next bytes; all connections share it, as they are copied at once.
+
+        What follows a large body may have to wait for memory itself, so little of it is read with the body.
+        """
+        return self.server.read_buffer[: max(COMMAND_READ_BYTES, self.reader.large_bytes_left)]
 
     def buffer_updated(self, nbytes: int) -> None:
         """Read the commands that the bytes in the buffer complete."""
--- a/api_gateway/gateway/process_limits.py
+++ b/api_gateway/gateway/process_limits.py
@@ -18,8 +18,9 @@
 
 # Memory that a process uses without any connections.
 PROCESS_BASE_BYTES = 17 * 1024 * 1024
-# Memory of one connection to a client or an endpoint, without what the budgets count.
-CONNECTION_BYTES = 6 * 1024
+# Memory of one connection, without what the budgets count; of a client's with one read.
+CLIENT_CONNECTION_BYTES = 8 * 1024
+ENDPOINT_CONNECTION_BYTES = 5 * 1024
 # Fractions for each kind of holding of the memory that these leave. Replies may exceed theirs by
 # MAX_REPLY_OVERRUN; the sum is below 1, because the allocator needs memory, too.
 LARGE_BODY_FRACTION = 0.36
@@ -109,7 +110,7 @@
             // self.process_count
         )
         connections = descriptors // 2
-        connection_bytes = 2 * connections * CONNECTION_BYTES  # those to clients and those to endpoints
+        connection_bytes = connections * (CLIENT_CONNECTION_BYTES + ENDPOINT_CONNECTION_BYTES)
         spare_bytes = config.max_memory_bytes / self.process_count - PROCESS_BASE_BYTES - connection_bytes
         budget_bytes = int(min(max(spare_bytes, MIN_BUDGET_BYTES), sys.maxsize))
         large_body_bytes = max(MAX_VALUE_BYTES, int(budget_bytes * LARGE_BODY_FRACTION))
--- a/tests/downstream/test_body_wait.py
+++ b/tests/downstream/test_body_wait.py
@@ -274,3 +274,17 @@
     send_time.on_large_command_ended()
     send_time.on_read(5.01, lambda: 0)
     assert send_time.earliest == 5.01
+
+
+# Guards against bytes of a body that waits for memory, read with the body before it and in no budget.
+@pytest.mark.parametrize("overrides", [{}, FAIR_QUEUEING], ids=["plain", "fair queueing"])
+@on_loop
+async def test_little_of_a_waiting_body_is_read_with_the_body_before_it(overrides, scratch):
+    async with StubHost(answer=None) as host, Node(host, path=scratch, config_overrides=overrides) as node:
+        node.node.sibling_watch.timer.cancel()  # it would set the capacity again
+        budget = node.node.clients.body_budget
+        budget.capacity_bytes = len(WHOLE)
+        await send_whole(node, upload(b"first", WHOLE) + upload(b"second", WHOLE))
+        await wait_until(lambda: budget.waiting)
+        (client,) = node.node.clients.connections
+        assert 0 < len(client.reader.buffered) <= clients.COMMAND_READ_BYTES
--- a/tests/gateway/test_memory_budgets.py
+++ b/tests/gateway/test_memory_budgets.py
@@ -7,13 +7,15 @@
 import pytest
 from netkit import on_loop, wait_until
 
+from api_gateway.downstream.client_connection import COMMAND_READ_BYTES
 from api_gateway.downstream.client_server import MAX_REPLY_OVERRUN
 from api_gateway.downstream.partial_command import UNCOUNTED_COMMAND_BYTES
 from api_gateway.gateway import memory_watch
 from api_gateway.gateway.memory_watch import HIGH_FRACTION, MIN_GROWTH_BYTES, MemoryWatch
 from api_gateway.gateway.process_limits import (
-    CONNECTION_BYTES,
+    CLIENT_CONNECTION_BYTES,
     CUSTOMER_BYTES,
+    ENDPOINT_CONNECTION_BYTES,
     PROCESS_BASE_BYTES,
     ProcessLimits,
 )
@@ -35,7 +37,8 @@
         + MAX_REPLY_OVERRUN * capacity.reply_bytes
         + capacity.answer_bytes
     )
-    return PROCESS_BASE_BYTES + 2 * capacity.connections * CONNECTION_BYTES + budgets
+    connections = capacity.connections * (CLIENT_CONNECTION_BYTES + ENDPOINT_CONNECTION_BYTES)
+    return PROCESS_BASE_BYTES + connections + budgets
 
 
 # Guards against budgets that are each bounded, and exceed the limit together.
@@ -46,7 +49,7 @@
 
 
 def test_what_a_connection_holds_uncounted_fits_into_its_allowance():
-    assert 2 * UNCOUNTED_COMMAND_BYTES <= CONNECTION_BYTES / 2
+    assert max(COMMAND_READ_BYTES, 2 * UNCOUNTED_COMMAND_BYTES) <= CLIENT_CONNECTION_BYTES / 2
 
 
 class Memory:
