--- a/api_gateway/downstream/client_connection.py
+++ b/api_gateway/downstream/client_connection.py
@@ -21,6 +21,7 @@
 from api_gateway.downstream.command_reader import MAX_COMMAND_BYTES, CommandReader
 from api_gateway.downstream.connection_ends import EndReason
 from api_gateway.downstream.connection_state import CloseCause, ConnectionEvent, ConnectionState, Input
+from api_gateway.downstream.connection_timeouts import ConnectionTimeouts
 from api_gateway.downstream.large_body import DiscardedBody, LargeBody
 from api_gateway.downstream.partial_command import PartialCommand
 from api_gateway.downstream.pending_reply import PendingReply
@@ -37,17 +38,6 @@
 MAX_PENDING_COMMANDS = 512
 # Bytes of complete replies that are written at once.
 MAX_WRITE_BYTES = 64 * 1024
-# Seconds for the first command of a connection, or a command that has begun, to arrive without its large
-# body.
-COMMAND_TIMEOUT_S = 2.5
-# Seconds between two chunks of a large body.
-BODY_PROGRESS_TIMEOUT_S = 2.2
-# Seconds for the client to close its side after the gateway has shut down sending and it has the replies.
-LINGER_TIMEOUT_S = 1.0
-# Seconds for the first command on a connection that is accepted during a drain.
-DRAIN_FIRST_COMMAND_TIMEOUT_S = 1.0
-# Seconds after the end of reading in a drain for the rest of a command that has begun to arrive.
-DRAIN_PARTIAL_COMMAND_S = 1.0
 # Answers a command of which only a part has come, when its connection has to end.
 PARTIAL_COMMAND_REPLY = b"-BUSY\r\n"
 
@@ -55,8 +45,8 @@
 class ClientConnection(asyncio.BufferedProtocol):
     """A client connection, from accept to close.
 
-    Its `state` decides what may be read, handled and ended. The ClientServer owns the connection and enforces
-    its timeouts.
+    Its `state` decides what may be read, handled and ended, its `timeouts` how long it may wait. The
+    ClientServer owns the connection.
     """
 
     def __init__(self, server: ClientServer) -> None:
@@ -64,6 +54,7 @@
         self.server = server
         self.transport: asyncio.Transport
         self.state = ConnectionState()
+        self.timeouts = ConnectionTimeouts(self)
         self.reader = CommandReader()
         self.pending_replies: deque[PendingReply] = deque()
         self.reply_account = ReplyAccount(server.reply_budget)
@@ -192,7 +183,7 @@
                     return
                 self._handle_command(command)
         except hiredis.ProtocolError:
-            self._fail(b"-ERR protocol error\r\n", EndReason.PROTOCOL_ERROR)
+            self.fail(b"-ERR protocol error\r\n", EndReason.PROTOCOL_ERROR)
 
     def _on_commands_handled(self) -> None:
         """Record that no whole command is left in the reader, and check what it holds of the next one."""
@@ -200,10 +191,10 @@
         self.reader.release_buffer()
         self._check_partial_command()
         if self.state.is_reading_stopped:
-            self._reject_partial_command()
-        self._update_idle()
+            self.reject_partial_command()
+        self.update_idle()
 
-    def _update_idle(self) -> None:
+    def update_idle(self) -> None:
         """Enter the connection among those that may be closed to make room, if it may."""
         if self.is_at_rest():
             self.server.idle.add(self)
@@ -240,7 +231,7 @@
         self.reader.receive_body(body)
         self.read_commands()
 
-    def _reject_body(self) -> None:
+    def reject_body(self) -> None:
         """Stop waiting for the budget: read the large body without keeping it, and reject its command."""
         self.server.body_budget.cancel(self)
         self.server.body_budget.rejected_count += 1
@@ -282,9 +273,9 @@
             self.server.body_budget.reserve(self.reader.large_string_bytes, self)
         # A command that never ends must not exhaust the memory.
         elif self.partial_command.size > MAX_COMMAND_BYTES and not self.awaits_body_budget:
-            self._fail(b"-ERR command too long\r\n", EndReason.COMMAND_TOO_LONG)
+            self.fail(b"-ERR command too long\r\n", EndReason.COMMAND_TOO_LONG)
         elif not self.partial_command.reserve():
-            self._fail(b"-ERR no memory for this command\r\n", EndReason.NO_MEMORY)
+            self.fail(b"-ERR no memory for this command\r\n", EndReason.NO_MEMORY)
         if self.command_due_since is not None:
             self.server.timed_connections[self] = None
 
@@ -300,7 +291,7 @@
         self._shut_sending_if_done()
         if self.reading_paused:
             self.update_reading()
-        self._update_idle()
+        self.update_idle()
 
     def _take_writable_replies(self) -> bytes:
         """Remove the next complete replies, up to MAX_WRITE_BYTES, and return them; empty if none can go."""
@@ -457,80 +448,11 @@
         self.is_queued_for_turn = True
         self.server.turns.wait(self)
 
-    # Timeouts
-
-    def check_timeouts(self, now: float) -> bool:
-        """Close or abort the connection if a timeout has expired.
-
-        Args:
-            now: The monotonic time.
-
-        Returns:
-            Whether a timeout is running; if not, no further check is needed for now.
-        """
-        if self.state.is_sending_shut:
-            self._check_linger(now)
-            return True
-        if self.server.drain_started_at is not None:
-            self._check_drain(now, self.server.drain_started_at)
-        is_delivered = self._check_delivery(now)
-        if not self.state.may_handle or self.command_due_since is None:
-            return not is_delivered
-        if self.awaits_body_budget and now >= self.body_wait_ends_at:
-            self._reject_body()
-            return True
-        if self.reading_paused or self.awaits_turn:
-            return True
-        if self.reader.is_in_large_part():
-            is_late = now - self.last_read_at > BODY_PROGRESS_TIMEOUT_S
-        else:
-            is_late = now - self.command_due_since > COMMAND_TIMEOUT_S
-        if is_late:
-            self._fail(b"-ERR no whole command in time\r\n", EndReason.COMMAND_TIMEOUT)
-        return True
-
-    def _check_delivery(self, now: float) -> bool:
-        """Return whether the client has the replies that were written.
-
-        If it has, a connection without a request is idle again. If it takes none for too long, the connection
-        is aborted, because it may also occupy one to an endpoint.
-        """
-        state = self.delivery_state(now)
-        if state is DeliveryState.DELIVERED:
-            self._update_idle()
-            return True
-        if state is DeliveryState.GIVEN_UP:
-            self.server.ends.record(EndReason.REPLIES_UNREAD, self)
-            self.abort()
-        return False
-
-    def _check_drain(self, now: float, drain_started_at: float) -> None:
-        """Stop reading late in a drain and close if nothing is pending; complete commands are served.
-
-        A command that has begun gets DRAIN_PARTIAL_COMMAND_S for its rest, without waiting for memory, as its
-        client may have sent it whole. After that it is rejected.
-        """
-        late_by = now - drain_started_at - self.server.drain_read_s
-        if late_by > 0 and (self.pending_replies or now - self.connected_at > DRAIN_FIRST_COMMAND_TIMEOUT_S):
-            if self.awaits_body_budget:
-                self._reject_body()
-            if self.state.input is not Input.PARTIAL or late_by > DRAIN_PARTIAL_COMMAND_S:
-                self.stop_reading()
-        self.flush()
-
     def stop_reading(self) -> None:
         """Read no more until a drain is over, and reject a command of which only a part has been read."""
         self.state.is_reading_stopped = True
         self.update_reading()
-        self._reject_partial_command()
-
-    def _check_linger(self, now: float) -> None:
-        """Abort if the client has the replies and does not close its side in time, or takes none of them."""
-        if not self._check_delivery(now):
-            return
-        if now - max(self.sending_shut_at, self.delivery.progress_at) > LINGER_TIMEOUT_S:
-            self.server.ends.record(EndReason.LINGER_TIMEOUT, self)
-            self.abort()
+        self.reject_partial_command()
 
     # Closing
 
@@ -542,7 +464,7 @@
     def evict(self) -> None:
         """Close to make room for others: at once, or after the answer to what the client has sent."""
         self._begin_close(CloseCause.EVICTION)
-        self._reject_partial_command()
+        self.reject_partial_command()
         self.flush()
 
     def _begin_close(self, cause: CloseCause) -> None:
@@ -609,7 +531,7 @@
             if pending_reply.encoded_reply is None:
                 self.server.handler.on_client_disconnected(pending_reply)
 
-    def _fail(self, error_reply: bytes, reason: EndReason) -> None:
+    def fail(self, error_reply: bytes, reason: EndReason) -> None:
         """Handle no more input; pending replies are sent before `error_reply`."""
         self._begin_close(CloseCause.ERROR)
         self.server.ends.record(reason, self)
@@ -620,14 +542,14 @@
         pending_reply.complete(error_reply)
         self.update_reading()
 
-    def _reject_partial_command(self) -> None:
+    def reject_partial_command(self) -> None:
         """Reject a command of which only a part has been read, if there is one, and handle no more input.
 
         Its client may have sent the rest already, so it would lose the request if it got no answer.
         """
         if not self.state.may_handle or self.state.input is not Input.PARTIAL:
             return
-        self._fail(PARTIAL_COMMAND_REPLY, EndReason.PARTIAL_COMMAND)
+        self.fail(PARTIAL_COMMAND_REPLY, EndReason.PARTIAL_COMMAND)
 
     def _drop_input(self) -> None:
         """Forget what was read and not handled, and release its memory."""
--- a/api_gateway/downstream/client_server.py
+++ b/api_gateway/downstream/client_server.py
@@ -183,7 +183,7 @@
         # During a drain, every connection has a timeout.
         checked = self.timed_connections if self.drain_started_at is None else self.connections
         for connection in list(checked):
-            if not self.run_isolated(connection, partial(connection.check_timeouts, now)):
+            if not self.run_isolated(connection, partial(connection.timeouts.check, now)):
                 self.timed_connections.pop(connection, None)
 
     def run_isolated(self, connection: ClientConnection, action: Callable[[], Result]) -> Result | None:
--- a/api_gateway/downstream/fair_queueing.py
+++ b/api_gateway/downstream/fair_queueing.py
@@ -225,7 +225,7 @@
                     spent += command_cost(command)
         except hiredis.ProtocolError:
             self.awaits_turn = False
-            self._fail(b"-ERR protocol error\r\n", EndReason.PROTOCOL_ERROR)
+            self.fail(b"-ERR protocol error\r\n", EndReason.PROTOCOL_ERROR)
         except Exception:  # an error of one connection must not stop the batch of the others
             log.exception("handling the commands of a connection failed")
             self.server.ends.record(EndReason.INTERNAL_ERROR, self)
--- a/tests/control/test_control_server.py
+++ b/tests/control/test_control_server.py
@@ -9,7 +9,7 @@
 from netkit import SERVED, VALUE, Node, StubHost, command, entry, on_loop, read_reply, wait_until
 
 from api_gateway.control import http_server
-from api_gateway.downstream import client_connection, client_server
+from api_gateway.downstream import client_server, connection_timeouts
 
 SMALLEST_MEMORY_LIMIT_MB = 32
 PING = b"*1\r\n$4\r\nPING\r\n"
@@ -222,7 +222,7 @@
 @on_loop
 async def test_drain_closes_connections_without_a_command(tmp_path, monkeypatch):
     monkeypatch.setattr(client_server, "DRAIN_READ_S", 0.05)
-    monkeypatch.setattr(client_connection, "DRAIN_FIRST_COMMAND_TIMEOUT_S", 0.05)
+    monkeypatch.setattr(connection_timeouts, "DRAIN_FIRST_COMMAND_TIMEOUT_S", 0.05)
     async with StubHost() as host, Node(host, path=tmp_path) as node:
         await node.call_control("POST /standby")
         reader, writer = await node.connect()
--- a/tests/downstream/ends_by_places.py
+++ b/tests/downstream/ends_by_places.py
@@ -14,7 +14,7 @@
 import hiredis
 from netkit import VALUE, Node, StubHost, command, terms, wait_until, write_command
 
-from api_gateway.downstream import client_connection
+from api_gateway.downstream import connection_timeouts
 from api_gateway.downstream.connection_state import CloseCause
 from api_gateway.gateway import shutdown
 
@@ -264,7 +264,7 @@
         self.server.close_stalled()
 
     async def expire(self, connection):
-        connection.check_timeouts(asyncio.get_running_loop().time() + 1.5)
+        connection.timeouts.check(asyncio.get_running_loop().time() + 1.5)
 
     # Ends of the connections to hosts
 
@@ -358,7 +358,7 @@
 async def run_plan(plan, path, monkeypatch):
     """Play a plan with a gateway of its own and return the outcome."""
     for name, seconds in SHORT_TIMES.items():
-        monkeypatch.setattr(client_connection, name, seconds)
+        monkeypatch.setattr(connection_timeouts, name, seconds)
     host = GatedHost()
     async with host, Node(host, path=path, config_overrides=FAIR_EDGE if plan.is_fair else {}) as node:
         return await Play(plan, node, host, monkeypatch).run()
--- a/tests/downstream/test_bad_client_storms.py
+++ b/tests/downstream/test_bad_client_storms.py
@@ -8,7 +8,7 @@
 import pytest
 from netkit import Node, StubHost, command, on_loop, read_reply, wait_until
 
-from api_gateway.downstream.client_connection import COMMAND_TIMEOUT_S
+from api_gateway.downstream.connection_timeouts import COMMAND_TIMEOUT_S
 
 PEERS = 150
 RESET = b"\x01\0\0\0\0\0\0\0"  # SO_LINGER on, 0 s: closing sends RST
--- a/tests/downstream/test_body_wait.py
+++ b/tests/downstream/test_body_wait.py
@@ -7,7 +7,7 @@
 from netkit import SERVED, Node, StubHost, command, on_loop, read_reply, terms, wait_until
 
 from api_gateway.downstream import client_connection as clients
-from api_gateway.downstream import client_server
+from api_gateway.downstream import client_server, connection_timeouts
 from api_gateway.downstream.body_budget import BodyBudget
 from api_gateway.downstream.send_time import STREAM_PAUSE_S, SendTime
 
@@ -155,7 +155,7 @@
 @on_loop
 async def test_a_drain_answers_a_request_that_waits_for_memory(overrides, scratch, monkeypatch):
     monkeypatch.setattr(client_server, "DRAIN_READ_S", 0.3)
-    monkeypatch.setattr(clients, "DRAIN_FIRST_COMMAND_TIMEOUT_S", 0.3)
+    monkeypatch.setattr(connection_timeouts, "DRAIN_FIRST_COMMAND_TIMEOUT_S", 0.3)
     async with StubHost() as host, Node(host, path=scratch, config_overrides=overrides) as node:
         node.node.clients.drain_read_s = 0.3
         async with FullBudget(node):
@@ -171,7 +171,7 @@
 async def test_a_drain_serves_whole_requests_that_get_memory_from_rejected_ones(
     overrides, scratch, monkeypatch
 ):
-    monkeypatch.setattr(clients, "DRAIN_FIRST_COMMAND_TIMEOUT_S", 0.3)
+    monkeypatch.setattr(connection_timeouts, "DRAIN_FIRST_COMMAND_TIMEOUT_S", 0.3)
     async with StubHost() as host, Node(host, path=scratch, config_overrides=overrides) as node:
         node.node.clients.drain_read_s = 0.3
         async with FullBudget(node) as full:
@@ -193,9 +193,9 @@
 # Guards against a drain that waits for the body of a rejected command that never ends.
 @on_loop
 async def test_a_drain_ends_a_rejected_body_that_does_not_arrive(scratch, monkeypatch):
-    monkeypatch.setattr(clients, "DRAIN_FIRST_COMMAND_TIMEOUT_S", 0.1)
-    monkeypatch.setattr(clients, "DRAIN_PARTIAL_COMMAND_S", 0.3)
-    monkeypatch.setattr(clients, "BODY_PROGRESS_TIMEOUT_S", 60.0)
+    monkeypatch.setattr(connection_timeouts, "DRAIN_FIRST_COMMAND_TIMEOUT_S", 0.1)
+    monkeypatch.setattr(connection_timeouts, "DRAIN_PARTIAL_COMMAND_S", 0.3)
+    monkeypatch.setattr(connection_timeouts, "BODY_PROGRESS_TIMEOUT_S", 60.0)
     async with StubHost() as host, Node(host, path=scratch) as node:
         node.node.clients.drain_read_s = 0.1
         async with FullBudget(node):
--- a/tests/downstream/test_client_connection.py
+++ b/tests/downstream/test_client_connection.py
@@ -23,7 +23,7 @@
 )
 
 from api_gateway.downstream import client_connection as clients
-from api_gateway.downstream import client_server
+from api_gateway.downstream import client_server, connection_timeouts
 from api_gateway.downstream.connection_state import CloseCause
 from api_gateway.gateway import shutdown
 from api_gateway.policy import load_shedding as shedding
@@ -143,7 +143,7 @@
 )
 @on_loop
 async def test_a_peer_without_a_complete_command_is_disconnected(part, tmp_path, monkeypatch):
-    monkeypatch.setattr(clients, "COMMAND_TIMEOUT_S", 0.3)
+    monkeypatch.setattr(connection_timeouts, "COMMAND_TIMEOUT_S", 0.3)
     async with StubHost() as host, Node(host, path=tmp_path) as node:
         reader, writer = await node.connect()
         writer.write(part)
@@ -159,7 +159,7 @@
             writer.write(command(name))
             assert await read_reply(reader) == SERVED
             for client in list(node.node.clients.connections):
-                client.check_timeouts(time.monotonic() + 1000)
+                client.timeouts.check(time.monotonic() + 1000)
 
 
 @on_loop
@@ -195,7 +195,7 @@
 def stall_after(why, node, monkeypatch):
     if why == "drain":
         node.node.clients.drain_read_s = 0.0
-        monkeypatch.setattr(clients, "DRAIN_FIRST_COMMAND_TIMEOUT_S", 0.0)
+        monkeypatch.setattr(connection_timeouts, "DRAIN_FIRST_COMMAND_TIMEOUT_S", 0.0)
         node.node.clients.set_draining(True)
     elif why == "answers":
         (client,) = node.node.clients.connections
@@ -316,7 +316,7 @@
 
 @on_loop
 async def test_a_client_that_does_not_close_its_side_is_aborted(tmp_path, monkeypatch):
-    monkeypatch.setattr(clients, "LINGER_TIMEOUT_S", 0.1)
+    monkeypatch.setattr(connection_timeouts, "LINGER_TIMEOUT_S", 0.1)
     async with StubHost() as host, Node(host, path=tmp_path) as node:
         peer = Peer(node.port)
         peer.send(command(b"r1"))
@@ -366,7 +366,7 @@
 
 @on_loop
 async def test_a_peer_that_never_sent_a_command_does_not_linger(tmp_path, monkeypatch):
-    monkeypatch.setattr(clients, "LINGER_TIMEOUT_S", 1000.0)
+    monkeypatch.setattr(connection_timeouts, "LINGER_TIMEOUT_S", 1000.0)
     async with StubHost() as host, Node(host, path=tmp_path) as node:
         peer = Peer(node.port)
         peer.send(b"nonsense\r\n")
@@ -446,7 +446,7 @@
     A late request would fail in it; unread, the client retries it elsewhere.
     """
     monkeypatch.setattr(shutdown, "ACCEPT_PERIOD_S", 0.0)
-    monkeypatch.setattr(clients, "DRAIN_FIRST_COMMAND_TIMEOUT_S", 0.0)
+    monkeypatch.setattr(connection_timeouts, "DRAIN_FIRST_COMMAND_TIMEOUT_S", 0.0)
     short = {**SETTINGS, "services": [s | {"deadline": 900_000_000} for s in SETTINGS["services"]]}
     async with StubHost(None) as host, Node(host, path=tmp_path, settings=short) as node:
         peer = Peer(node.port)
@@ -482,7 +482,7 @@
 @on_loop
 async def test_a_failure_while_closing_one_connection_affects_no_other(tmp_path, monkeypatch):
     """Neither the new connection that displaces it nor those that time out in the same check are affected."""
-    monkeypatch.setattr(clients, "COMMAND_TIMEOUT_S", 0.3)
+    monkeypatch.setattr(connection_timeouts, "COMMAND_TIMEOUT_S", 0.3)
     async with StubHost() as host, Node(host, path=tmp_path) as node:
         node.node.sibling_watch.timer.cancel()
         peers, has_unread_bytes = (
@@ -497,14 +497,11 @@
                 raise OSError("injected failure")
             return has_unread_bytes(client)
 
-        for name in ("has_unread_bytes", "_check_delivery"):
-            monkeypatch.setattr(
-                clients.ClientConnection,
-                name,
-                fail_for_failing
-                if name == "has_unread_bytes"
-                else lambda c, now: fail_for_failing(c) if c is failing else None,
-            )
+        def fail_check_for_failing(timeouts, now):
+            return fail_for_failing(failing) if timeouts is failing.timeouts else None
+
+        monkeypatch.setattr(clients.ClientConnection, "has_unread_bytes", fail_for_failing)
+        monkeypatch.setattr(connection_timeouts.ConnectionTimeouts, "_check_delivery", fail_check_for_failing)
         node.node.clients.capacity = 3
         assert await node.send_command(command()) == SERVED
         assert [await reader.read() for reader, _ in peers[1:]] == [b"-ERR no whole command in time\r\n"] * 2
--- a/tests/downstream/test_large_values.py
+++ b/tests/downstream/test_large_values.py
@@ -17,8 +17,7 @@
 )
 
 from api_gateway.base.resp import INCOMPLETE, MAX_VALUE_BYTES, STREAMING_THRESHOLD_BYTES, RespReader
-from api_gateway.downstream import client_connection as clients
-from api_gateway.downstream import client_server, reply_delivery
+from api_gateway.downstream import client_server, connection_timeouts, reply_delivery
 from api_gateway.downstream.body_budget import BodyBudget
 
 BIG = bytes(range(256)) * 4096  # 1 MiB
@@ -151,7 +150,7 @@
 
 @on_loop
 async def test_a_slow_large_body_is_sent_completely_and_retried_after_a_failure(tmp_path, monkeypatch):
-    monkeypatch.setattr(clients, "COMMAND_TIMEOUT_S", 0.3)
+    monkeypatch.setattr(connection_timeouts, "COMMAND_TIMEOUT_S", 0.3)
     answers = [b"-BUSY\r\n", value(b"value")]
     async with (
         StubHost(lambda: answers.pop(0)) as one,
@@ -171,7 +170,7 @@
 
 @on_loop
 async def test_a_stalled_body_closes_its_connection_and_releases_its_reservation(tmp_path, monkeypatch):
-    monkeypatch.setattr(clients, "BODY_PROGRESS_TIMEOUT_S", 0.3)
+    monkeypatch.setattr(connection_timeouts, "BODY_PROGRESS_TIMEOUT_S", 0.3)
     async with StubHost() as host, Node(host, path=tmp_path) as node:
         reader, writer = await node.connect()
         writer.write(upload()[:5000])
@@ -182,7 +181,7 @@
 
 @on_loop
 async def test_a_body_that_is_only_announced_reserves_nothing(tmp_path, monkeypatch):
-    monkeypatch.setattr(clients, "BODY_PROGRESS_TIMEOUT_S", 0.3)
+    monkeypatch.setattr(connection_timeouts, "BODY_PROGRESS_TIMEOUT_S", 0.3)
     async with StubHost() as host, Node(host, path=tmp_path) as node:
         node.node.sibling_watch.timer.cancel()
         node.node.clients.body_budget.capacity_bytes = len(BIG)
@@ -251,7 +250,7 @@
 @on_loop
 async def test_a_drain_does_not_wait_for_an_incomplete_body(tmp_path, monkeypatch):
     monkeypatch.setattr(client_server, "DRAIN_READ_S", 0.05)
-    monkeypatch.setattr(clients, "DRAIN_FIRST_COMMAND_TIMEOUT_S", 0.05)
+    monkeypatch.setattr(connection_timeouts, "DRAIN_FIRST_COMMAND_TIMEOUT_S", 0.05)
     async with StubHost() as host, Node(host, path=tmp_path) as node:
         reader, writer = await node.connect()
         writer.write(command(b"r1") + upload()[:90000])
--- a/tests/experiments/test_scale_page.py
+++ b/tests/experiments/test_scale_page.py
@@ -686,6 +686,8 @@
     "downstream.client_connection.MAX_PENDING_COMMANDS",
     "downstream.client_connection.MAX_WRITE_BYTES",
     "downstream.client_server.MAX_OVERFLOW_CONNECTIONS",
+    "downstream.connection_ends.MAX_LOGGED_IDS",
+    "downstream.idle_connections.MAX_FRESH_COMMANDS",
     "downstream.client_server.MAX_REPLY_OVERRUN",
     "downstream.listener.MAX_CLOSED_PER_TURN",
     "downstream.turns.MAX_CONNECTION_COMMANDS",
--- a/tests/gateway/test_commands_behind_a_value.py
+++ b/tests/gateway/test_commands_behind_a_value.py
@@ -19,7 +19,7 @@
     write_command,
 )
 
-from api_gateway.downstream import client_connection
+from api_gateway.downstream import client_connection, connection_timeouts
 from api_gateway.upstream import connection as upstream_connection
 
 LARGE = bytes(range(256)) * 1024  # 256 KiB
@@ -95,13 +95,13 @@
 # Guards against a body that counts as stopped because it was not read while a value was in transfer.
 @on_loop
 async def test_a_body_that_was_not_read_behind_a_value_is_not_late(tmp_path, monkeypatch):
-    monkeypatch.setattr(client_connection, "BODY_PROGRESS_TIMEOUT_S", 0.3)
-    monkeypatch.setattr(client_connection, "COMMAND_TIMEOUT_S", 0.3)
+    monkeypatch.setattr(connection_timeouts, "BODY_PROGRESS_TIMEOUT_S", 0.3)
+    monkeypatch.setattr(connection_timeouts, "COMMAND_TIMEOUT_S", 0.3)
     on_value_ended = client_connection.ClientConnection.on_value_ended
 
     def end_and_check(connection):
         on_value_ended(connection)
-        connection.check_timeouts(time.monotonic())  # as the timer may, before the socket is read
+        connection.timeouts.check(time.monotonic())  # as the timer may, before the socket is read
 
     async with HalvedValueHost() as host, Node(host, path=tmp_path) as node:
         reader, writer = await node.connect()
--- a/tests/injected/planted.py
+++ b/tests/injected/planted.py
@@ -189,7 +189,7 @@
     connection_state.ConnectionState.has_no_input = property(
         lambda self: self.input is not connection_state.Input.UNHANDLED
     )
-    client_connection.ClientConnection._reject_partial_command = lambda self: None
+    client_connection.ClientConnection.reject_partial_command = lambda self: None
 
 
 PLANTED = {
