Closed connections are freed at once; a reply that is sent in part counts whole

Cause: traced with a list of objects at each new peak: 2,367 client connections in memory for 413 that were open. Beside it, by reading: the write buffer keeps a whole reply until all of it is sent, and only the unsent part counted. Change: the time-outs are functions; the write buffer counts each piece until it is empty.

--- a/api_gateway/downstream/client_connection.py
+++ b/api_gateway/downstream/client_connection.py
@@ -21,7 +21,6 @@
 from api_gateway.downstream.command_reader import MAX_COMMAND_BYTES, CommandReader
 from api_gateway.downstream.connection_ends import EndReason
 from api_gateway.downstream.connection_state import CloseCause, ConnectionEvent, ConnectionState, Input
-from api_gateway.downstream.connection_timeouts import ConnectionTimeouts
 from api_gateway.downstream.large_body import DiscardedBody, LargeBody
 from api_gateway.downstream.partial_command import PartialCommand
 from api_gateway.downstream.pending_reply import PendingReply
@@ -45,7 +44,7 @@
 class ClientConnection(asyncio.BufferedProtocol):
     """A client connection, from accept to close.
 
-    Its `state` decides what may be read, handled and ended, its `timeouts` how long it may wait. The
+    Its `state` decides what may be read, handled and ended, and connection_timeouts how long it may wait. The
     ClientServer owns the connection.
     """
 
@@ -54,7 +53,6 @@
         self.server = server
         self.transport: asyncio.Transport
         self.state = ConnectionState()
-        self.timeouts = ConnectionTimeouts(self)
         self.reader = CommandReader()
         self.pending_replies: deque[PendingReply] = deque()
         self.reply_account = ReplyAccount(server.reply_budget)
@@ -350,10 +348,12 @@
         """Write bytes of replies, and count those that the socket does not accept."""
         self.delivery.on_write(monotonic(), len(data))
         self.transport.write(data)
-        self._count_unsent_bytes()
+        self._count_unsent_bytes(len(data))
 
-    def _count_unsent_bytes(self) -> None:
-        if self.reply_account.count_unsent(self.transport.get_write_buffer_size()):
+    def _count_unsent_bytes(self, written_bytes: int = 0) -> None:
+        """Count what the write buffer holds after `written_bytes` were written to it."""
+        is_empty = not self.transport.get_write_buffer_size()
+        if self.reply_account.count_unsent(written_bytes, is_empty=is_empty):
             self.server.limit_unsent_replies()
 
     # State
--- a/api_gateway/downstream/client_server.py
+++ b/api_gateway/downstream/client_server.py
@@ -22,6 +22,7 @@
 from api_gateway.downstream.client_socket import find_disconnected
 from api_gateway.downstream.connection_ends import ConnectionEnds, EndReason
 from api_gateway.downstream.connection_state import CloseCause
+from api_gateway.downstream.connection_timeouts import check_timeouts
 from api_gateway.downstream.idle_connections import IdleConnections
 from api_gateway.downstream.listener import ClientListener
 from api_gateway.downstream.pending_reply import PendingReply
@@ -183,7 +184,7 @@
         # During a drain, every connection has a timeout.
         checked = self.timed_connections if self.drain_started_at is None else self.connections
         for connection in list(checked):
-            if not self.run_isolated(connection, partial(connection.timeouts.check, now)):
+            if not self.run_isolated(connection, partial(check_timeouts, connection, now)):
                 self.timed_connections.pop(connection, None)
 
     def run_isolated(self, connection: ClientConnection, action: Callable[[], Result]) -> Result | None:
--- a/api_gateway/downstream/reply_account.py
+++ b/api_gateway/downstream/reply_account.py
@@ -15,7 +15,8 @@
     """Counts the replies of one connection in the budget of all.
 
     Attributes:
-        unsent_bytes: Bytes that were written and that the socket has not accepted, as counted in the budget.
+        unsent_bytes: Bytes that the write buffer holds, as counted in the budget. It keeps each piece that
+            was written until the socket has accepted the whole of it.
     """
 
     def __init__(self, budget: ByteBudget) -> None:
@@ -39,8 +40,14 @@
         self._budget.release(reply.held_bytes)
         reply.held_bytes = 0
 
-    def count_unsent(self, unsent_bytes: int) -> bool:
-        """Count the write buffer, which now holds `unsent_bytes`; return whether this has changed."""
+    def count_unsent(self, written_bytes: int, *, is_empty: bool) -> bool:
+        """Count the write buffer after `written_bytes` were written to it; return whether it has changed.
+
+        Args:
+            written_bytes: The length of the piece that was written; 0: none was.
+            is_empty: Whether the socket has accepted everything.
+        """
+        unsent_bytes = 0 if is_empty else self.unsent_bytes + written_bytes
         if unsent_bytes == self.unsent_bytes:
             return False
         self._budget.reserve_anyway(unsent_bytes - self.unsent_bytes)
--- a/tests/downstream/ends_by_places.py
+++ b/tests/downstream/ends_by_places.py
@@ -264,7 +264,7 @@
         self.server.close_stalled()
 
     async def expire(self, connection):
-        connection.timeouts.check(asyncio.get_running_loop().time() + 1.5)
+        connection_timeouts.check_timeouts(connection, asyncio.get_running_loop().time() + 1.5)
 
     # Ends of the connections to hosts
 
--- a/tests/downstream/test_client_connection.py
+++ b/tests/downstream/test_client_connection.py
@@ -3,9 +3,11 @@
 import asyncio
 import contextlib
 import fcntl
+import gc
 import socket
 import termios
 import time
+import weakref
 
 import pytest
 from netkit import (
@@ -24,6 +26,7 @@
 
 from api_gateway.downstream import client_connection as clients
 from api_gateway.downstream import client_server, connection_timeouts
+from api_gateway.downstream.connection_ends import EndReason
 from api_gateway.downstream.connection_state import CloseCause
 from api_gateway.gateway import shutdown
 from api_gateway.policy import load_shedding as shedding
@@ -159,7 +162,7 @@
             writer.write(command(name))
             assert await read_reply(reader) == SERVED
             for client in list(node.node.clients.connections):
-                client.timeouts.check(time.monotonic() + 1000)
+                connection_timeouts.check_timeouts(client, time.monotonic() + 1000)
 
 
 @on_loop
@@ -497,11 +500,11 @@
                 raise OSError("injected failure")
             return has_unread_bytes(client)
 
-        def fail_check_for_failing(timeouts, now):
-            return fail_for_failing(failing) if timeouts is failing.timeouts else None
+        def fail_check_for_failing(client, now):
+            return fail_for_failing(client) if client is failing else None
 
         monkeypatch.setattr(clients.ClientConnection, "has_unread_bytes", fail_for_failing)
-        monkeypatch.setattr(connection_timeouts.ConnectionTimeouts, "_check_delivery", fail_check_for_failing)
+        monkeypatch.setattr(connection_timeouts, "_check_delivery", fail_check_for_failing)
         node.node.clients.capacity = 3
         assert await node.send_command(command()) == SERVED
         assert [await reader.read() for reader, _ in peers[1:]] == [b"-ERR no whole command in time\r\n"] * 2
@@ -586,3 +589,32 @@
         assert server.connections.visited <= 200
         for peer in peers:
             peer.sock.close()
+
+
+# Guards against closed connections that stay, with their buffers, until a garbage collection.
+@on_loop
+async def test_a_closed_connection_is_freed_without_a_garbage_collection(tmp_path):
+    async with StubHost() as host, Node(host, path=tmp_path) as node:
+        server = node.node.clients
+        gc.collect()
+        gc.disable()
+        try:
+            peers = [Peer(node.port) for _ in range(4)]
+            texts = [command(b"r1"), command(b"r2")[:40], b"nonsense\r\n", UPLOAD[:50_000]]
+            for peer, text in zip(peers, texts, strict=True):
+                peer.send(text)
+            await wait_until(
+                lambda: (
+                    host.commands
+                    and len(server.connections) >= 3
+                    and server.body_budget.reserved_bytes
+                    and server.ends.counts[EndReason.PROTOCOL_ERROR]
+                )
+            )
+            references = [weakref.ref(connection) for connection in server.connections]
+            for peer in peers:
+                peer.sock.close()
+            await wait_until(lambda: not server.connections)
+            await wait_until(lambda: not any(reference() for reference in references))
+        finally:
+            gc.enable()
--- a/tests/downstream/test_reply_budget.py
+++ b/tests/downstream/test_reply_budget.py
@@ -3,7 +3,16 @@
 import asyncio
 import socket
 
-from netkit import SERVED, Node, command, on_loop, read_reply, wait_until, write_command
+from netkit import (
+    SERVED,
+    Node,
+    command,
+    limit_client_send_buffers,
+    on_loop,
+    read_reply,
+    wait_until,
+    write_command,
+)
 from scripted_host import ScriptedHost, value_reply
 
 VALUE = b"v" * 2000
@@ -93,3 +102,27 @@
         writer.write(b"*3\r\n$60000\r\n" + b"v" * 20_000)
         assert await reply == b"-ERR failed\r\n"
         assert budget.refused_count and budget.reserved_bytes == 0
+
+
+# Guards against a write buffer that keeps a whole reply of which only the unsent part is counted.
+@on_loop
+async def test_a_reply_that_is_sent_in_part_counts_until_all_of_it_is_sent(scratch):
+    long_value = b"v" * 60_000
+    async with ScriptedHost() as host, Node(host, path=scratch) as node:
+        limit_client_send_buffers(node.node)
+        budget = node.node.clients.reply_budget
+        reader, writer = await node.connect()
+        writer.transport.pause_reading()
+        (client,) = node.node.clients.connections
+        number = 0
+        while not client.transport.get_write_buffer_size():
+            writer.write(command(b"r%d" % number))
+            _, host_writer = await host.commands.get()
+            host_writer.write(value_reply(long_value))
+            number += 1
+            await wait_until(lambda: not node.node.in_flight)
+        assert client.transport.get_write_buffer_size() < len(long_value) <= budget.reserved_bytes
+        writer.transport.resume_reading()
+        for _ in range(number):
+            assert await read_reply(reader) == b"$60000\r\n" + long_value + b"\r\n"
+        await wait_until(lambda: not budget.reserved_bytes)
--- a/tests/gateway/test_commands_behind_a_value.py
+++ b/tests/gateway/test_commands_behind_a_value.py
@@ -101,7 +101,9 @@
 
     def end_and_check(connection):
         on_value_ended(connection)
-        connection.timeouts.check(time.monotonic())  # as the timer may, before the socket is read
+        connection_timeouts.check_timeouts(
+            connection, time.monotonic()
+        )  # as the timer may, before the socket is read
 
     async with HalvedValueHost() as host, Node(host, path=tmp_path) as node:
         reader, writer = await node.connect()
