--- a/tests/soak_mixed_clients.py
+++ b/tests/soak_mixed_clients.py
@@ -91,6 +91,22 @@
     )
 
 
+# Planted bug: the plan that shows it on a busy machine, too, and the rule that it breaks.
+BROKEN_RULES = {
+    "endless memory": (
+        MixedPlan(
+            ["half_bodies", "half_fields"],
+            MEMORY_MB,
+            DESCRIPTORS,
+            connections={"half_bodies": 100, "half_fields": 330},
+            waves=False,
+            slow_host_count=0,
+        ),
+        "memory",
+    )
+}
+
+
 class MixedRun(SoakRun):
     """A gateway under all kinds of slow clients."""
 
--- a/tests/test_soak_mixed_clients.py
+++ b/tests/test_soak_mixed_clients.py
@@ -5,7 +5,7 @@
 import pytest
 import soak_mixed_clients
 import uvloop
-from soak_mixed_clients import DESCRIPTORS, MEMORY_MB
+from soak_mixed_clients import BROKEN_RULES, DESCRIPTORS, MEMORY_MB
 
 DURATION_S = 12.0
 SEEDS = (3, 5)
@@ -28,6 +28,7 @@
     assert not uvloop.run(with_timeout(soak_mixed_clients.run_plan(plan, seed)))
 
 
-def test_budgets_that_grant_all_are_found_by_slow_clients():
-    plan = soak_mixed_clients.plan_of_all_kinds(DURATION_S, MEMORY_MB, DESCRIPTORS)
-    assert "memory" in uvloop.run(with_timeout(soak_mixed_clients.run_plan(plan, planted="endless memory")))
+@pytest.mark.parametrize("planted", BROKEN_RULES)
+def test_a_planted_bug_breaks_its_rule_under_slow_clients(planted):
+    plan, rule = BROKEN_RULES[planted]
+    assert rule in uvloop.run(with_timeout(soak_mixed_clients.run_plan(plan, planted=planted)))
